--- /dev/null
+++ b/src/main/java/org/baygw/control/Constants.java
@@ -0,0 +1,129 @@
+package org.baygw.control;
+
+/** Every fixed number of the service, each with its unit and its reason. */
+public final class Constants {
+  /** Parts per zone. Enough that two or three controllers get even shares; few enough to pack well. */
+  public static final int PARTS_PER_ZONE = 6;
+
+  /** Tasks per progress key. 128 live tasks take about 3 KiB, well inside an 8 KiB value. */
+  public static final int CHUNK_TASKS = 128;
+
+  /** Most tasks recorded on one machine: 200 records of about 24 bytes stay under 8 KiB. */
+  public static final int MACHINE_TASKS = 200;
+
+  /** ms. The core's clock step: fine against second-long aims, cheap at a seventh of a core. */
+  public static final long TICK_MS = 20;
+
+  /** ms. A hold's life: two lost renewals and a slow answer are survived, a crash is seen soon. */
+  public static final long HOLD_TTL_MS = 5_000;
+
+  /** ms between renewals of the hold: three tries within its life. */
+  public static final long HOLD_TOUCH_MS = 1_500;
+
+  /** ms a controller must be seen before parts are handed to it, so a flapping one gets none. */
+  public static final long SETTLE_MS = 3_000;
+
+  /** ms between tries for a claim that another controller may be taking at the same moment. */
+  public static final long CLAIM_RETRY_MS = 300;
+
+  /** ms a watch stays open at the state service; also bounds how long a dead connection is unseen. */
+  public static final long WATCH_WAIT_MS = 8_000;
+
+  /** ms between the openings of two watches: each counts as a request. */
+  public static final long WATCH_GAP_MS = 50;
+
+  /** ms between two syncs for users' polls; polls in between share one. */
+  public static final long SYNC_GAP_MS = 40;
+
+  /** ms for an ordinary state call: its answers take 10 ms, now and then a few hundred. */
+  public static final int STATE_TIMEOUT_MS = 1_500;
+
+  /** ms before a failed state call is tried again: no busy loop in an outage, back soon after. */
+  public static final long STATE_RETRY_MS = 250;
+
+  /** Share of the state service's limits that one controller takes; limits are shared by three. */
+  public static final double STATE_SHARE = 0.5;
+
+  /** ms a bucket rests after a 429. */
+  public static final long BUCKET_REST_MS = 200;
+
+  /** ms a submission may wait for tokens and its write before it is refused; users wait 5 s. */
+  public static final long SUBMIT_WAIT_MS = 1_500;
+
+  /** ms a poll may wait for its sync; users wait 2 s. */
+  public static final long POLL_WAIT_MS = 1_200;
+
+  /** s. Retry-After of a submission or poll that could not be taken: an outage lasts seconds. */
+  public static final int RETRY_AFTER_S = 1;
+
+  /** Entries waiting for users at once; above it submissions get 429. */
+  public static final int MAX_WAITING = 400;
+
+  /** Bytes of a request body (protocol). */
+  public static final int MAX_BODY = 64 * 1024;
+
+  /** ms for a worker's answer to direct orders; the rest comes by its reports. */
+  public static final int ORDERS_TIMEOUT_MS = 2_500;
+
+  /** Token bits below the claim's stamp: raises within one claim. */
+  public static final int TOKEN_BITS = 20;
+
+  /** Clock drift of two machines together, relative: 0.05% each (protocol), doubled for safety. */
+  public static final double DRIFT = 0.002;
+
+  /** ms added to a lease before it is held to have run out. */
+  public static final long LEASE_MARGIN_MS = 500;
+
+  /** Report periods of silence after which a machine is given up and returned to the cloud. */
+  public static final double LOST_REPORTS = 3.5;
+
+  /** Share of a part owner's machines silent at once that points at us or the network, not at them. */
+  public static final double LOST_SHARE_MAX = 0.6;
+
+  /** ms a granted task may wait in a part with no fitting machine before it goes back to the queue. */
+  public static final long UNGRANT_MS = 4_000;
+
+  /** ms between the desk's passes over the queue. */
+  public static final long DESK_PASS_MS = 100;
+
+  /** Errors on a machine with no completed task in between that make it sick. */
+  public static final int SICK_ERRORS = 3;
+
+  /** ms. First wait of a job after an error of its tasks; doubles up to ERROR_BACKOFF_MAX_MS. */
+  public static final long ERROR_BACKOFF_MS = 1_000;
+
+  /** ms. Longest wait of a job that keeps failing. */
+  public static final long ERROR_BACKOFF_MAX_MS = 60_000;
+
+  /** ms between listings of the cloud's machines. */
+  public static final long LIST_MS = 2_500;
+
+  /** ms between readings of the machine types, for spot prices. */
+  public static final long TYPES_MS = 60_000;
+
+  /** ms for a cloud call: they take 200 ms. */
+  public static final int CLOUD_TIMEOUT_MS = 4_000;
+
+  /** ms a cloud that failed or refused is left alone. */
+  public static final long CLOUD_RETRY_MS = 1_000;
+
+  /** ms a kind of machine is not asked for after "no capacity". */
+  public static final long NO_CAPACITY_MS = 8_000;
+
+  /** Times the nominal boot time after which a machine is given up. */
+  public static final double BOOT_GIVE_UP = 3.0;
+
+  /** ms an empty machine is kept: a deleted machine costs 60 s, and a new one has no images. */
+  public static final long IDLE_MS = 45_000;
+
+  /** Machines per rental request (protocol). */
+  public static final int MAX_RENT = 50;
+
+  /** Machines per return request (protocol). */
+  public static final int MAX_RETURN = 100;
+
+  /** Relative slack when amounts are compared: they are sums of decimals. */
+  public static final double EPS = 1e-6;
+
+  private Constants() {}
+}
--- /dev/null
+++ b/src/main/java/org/baygw/control/Controller.java
@@ -0,0 +1,81 @@
+package org.baygw.control;
+
+import java.util.List;
+import org.baygw.control.cloud.Cloud;
+import org.baygw.control.config.Settings;
+import org.baygw.control.core.Clock;
+import org.baygw.control.core.Json;
+import org.baygw.control.core.Outbox;
+import org.baygw.control.fleet.Fleet;
+import org.baygw.control.jobs.Jobs;
+import org.baygw.control.membership.Membership;
+import org.baygw.control.quota.Desk;
+import org.baygw.control.store.Store;
+import org.baygw.control.store.View;
+import org.baygw.control.workers.Workers;
+
+/**
+ * The core: takes requests, answers of other systems and clock ticks; gives back what to send and to
+ * answer. It does no I/O, reads no clock and has no thread, so tests drive it with simulated ones.
+ */
+public final class Controller {
+  private final Clock clock = new Clock();
+  private final Outbox out = new Outbox();
+  private final View view = new View();
+  private final Store store;
+  private final Membership membership;
+  private final Jobs jobs;
+  private final Workers workers;
+  private final Desk desk;
+  private final Fleet fleet;
+
+  public Controller(Settings settings) {
+    this.store = new Store(clock, out, settings, view);
+    this.membership = new Membership(clock, settings, store, view);
+    this.jobs = new Jobs(clock, out, settings, store, view);
+    this.workers = new Workers(clock, out, settings, store, view, membership);
+    this.desk = new Desk(clock, settings, store, view, membership);
+    Cloud cloud = new Cloud(clock, out, settings);
+    this.fleet = new Fleet(clock, settings, store, view, membership, cloud, desk);
+  }
+
+  /** A request on the users' and workers' side. */
+  public List<Outbox.Effect> request(
+      long nowMs, long wallMs, long id, String method, String path, byte[] body) {
+    clock.set(nowMs, wallMs);
+    if (path.equals("/checkin")) {
+      if (method.equals("POST")) {
+        workers.checkin(id, body);
+      } else {
+        out.answer(id, 405, Json.bytes(Json.object().put("error", "wrong method")));
+      }
+    } else if (!jobs.handle(id, method, path, body)) {
+      out.answer(id, 404, Json.bytes(Json.object().put("error", "no such path")));
+    }
+    return out.drain();
+  }
+
+  /** The outcome of a call that this core asked for. */
+  public List<Outbox.Effect> outcome(
+      long nowMs, long wallMs, Outbox.Callback then, int status, byte[] body) {
+    clock.set(nowMs, wallMs);
+    then.done(status, body);
+    step();
+    return out.drain();
+  }
+
+  /** Time has passed. */
+  public List<Outbox.Effect> tick(long nowMs, long wallMs) {
+    clock.set(nowMs, wallMs);
+    step();
+    return out.drain();
+  }
+
+  private void step() {
+    store.tick();
+    membership.tick();
+    desk.tick();
+    workers.tick();
+    fleet.tick();
+  }
+}
--- /dev/null
+++ b/src/main/java/org/baygw/control/config/Settings.java
@@ -0,0 +1,47 @@
+package org.baygw.control.config;
+
+import java.util.List;
+
+/** The platform's settings file, checked. */
+public record Settings(
+    String label,
+    String zone,
+    Endpoint listen,
+    Endpoint peerListen,
+    List<Peer> peers,
+    String cloudAddr,
+    String stateAddr,
+    List<String> zones,
+    List<Team> teams,
+    WorkerTimes workers,
+    StateLimits state,
+    CloudLimits cloud,
+    int maxConnections) {
+
+  /** Host and port. */
+  public record Endpoint(String host, int port) {}
+
+  /** Another controller. */
+  public record Peer(String label, String zone, String addr) {}
+
+  /** A team's guarantee and limit. */
+  public record Team(String name, double cpus, double cpusMax, double gpus, double gpusMax) {}
+
+  /** Workers' periods, in seconds. */
+  public record WorkerTimes(double reportS, double leaseS, double cancelS) {}
+
+  /** What the state service takes. */
+  public record StateLimits(double rps, double writeRps, double valueKb, int txnOps) {}
+
+  /** What the cloud takes. */
+  public record CloudLimits(double rps, double listLagS) {}
+
+  public Team team(String name) {
+    for (Team t : teams) {
+      if (t.name().equals(name)) {
+        return t;
+      }
+    }
+    return null;
+  }
+}
--- /dev/null
+++ b/src/main/java/org/baygw/control/membership/Membership.java
@@ -0,0 +1,271 @@
+package org.baygw.control.membership;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.google.common.hash.Hashing;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.baygw.control.Constants;
+import org.baygw.control.config.Settings;
+import org.baygw.control.core.Clock;
+import org.baygw.control.core.Json;
+import org.baygw.control.model.Part;
+import org.baygw.control.store.Keys;
+import org.baygw.control.store.Store;
+import org.baygw.control.store.Txn;
+import org.baygw.control.store.View;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Which controllers live, and who holds which part and the desk. A claim's stamp fences every durable
+ * change made under it; the hold behind it only decides when others may try to take over.
+ */
+public final class Membership {
+  private static final Logger LOG = LoggerFactory.getLogger(Membership.class);
+
+  private final Clock clock;
+  private final Settings settings;
+  private final Store store;
+  private final View view;
+  private final List<Part> parts;
+  private final Map<String, Long> firstSeen = new HashMap<>();
+
+  private long hold;
+  private boolean busy;
+  private long nextTouch;
+  private long nextClaim;
+  private boolean claiming;
+  private long ended;
+
+  public Membership(Clock clock, Settings settings, Store store, View view) {
+    this.clock = clock;
+    this.settings = settings;
+    this.store = store;
+    this.view = view;
+    this.parts = Part.all(settings.zones());
+  }
+
+  public List<Part> parts() {
+    return parts;
+  }
+
+  /**
+   * The claim's stamp if this process holds it, else 0. A claim counts only once the view has reached
+   * it: before that, the last writes of its former holder could be missing from the view.
+   */
+  public long owned(String claim) {
+    View.Entry<View.Claim> c = view.claims.get(claim);
+    return c != null && hold != 0 && c.value().hold() == hold && view.revision() >= c.stamp()
+        ? c.stamp()
+        : 0;
+  }
+
+  public long owned(Part p) {
+    return owned(p.toString());
+  }
+
+  public long desk() {
+    return owned(Keys.DESK);
+  }
+
+  /** The label of the controller that holds the part, or null. */
+  public String owner(Part p) {
+    View.Entry<View.Claim> c = view.claims.get(p.toString());
+    return c == null ? null : c.value().owner();
+  }
+
+  public void tick() {
+    if (!store.loaded()) {
+      return;
+    }
+    long now = clock.now();
+    firstSeen.keySet().retainAll(view.members.keySet());
+    view.members.keySet().forEach(m -> firstSeen.putIfAbsent(m, now));
+    if (hold == 0) {
+      if (!busy && now >= nextTouch) {
+        join();
+      }
+      return;
+    }
+    if (!busy && now >= nextTouch) {
+      touch();
+    }
+    if (!claiming && now >= nextClaim && view.members.containsKey(settings.label())) {
+      claims();
+    }
+  }
+
+  private void join() {
+    busy = true;
+    View.Entry<View.Member> before = view.members.get(settings.label());
+    if (before != null && before.value().hold() != ended) {
+      // The hold of this controller's former process, which has ended: its claims come free at once.
+      long old = before.value().hold();
+      store.request(
+          Store.Urgency.HOLD,
+          "DELETE",
+          "/holds/" + old,
+          null,
+          0,
+          Constants.STATE_TIMEOUT_MS,
+          Constants.STATE_TIMEOUT_MS,
+          (status, body) -> {
+            busy = false;
+            if (status == 200 || status == 204 || status == 404) {
+              ended = old;
+            } else {
+              nextTouch = clock.now() + Constants.STATE_RETRY_MS;
+            }
+          });
+      return;
+    }
+    ObjectNode ask = Json.object().put("ttlMs", Constants.HOLD_TTL_MS);
+    store.request(
+        Store.Urgency.HOLD,
+        "POST",
+        "/holds",
+        Json.bytes(ask),
+        0,
+        Constants.STATE_TIMEOUT_MS,
+        Constants.STATE_TIMEOUT_MS,
+        (status, body) -> {
+          long got = status == 200 || status == 201 ? Json.parse(body).path("hold").asLong() : 0;
+          if (got == 0) {
+            busy = false;
+            nextTouch = clock.now() + Constants.STATE_RETRY_MS;
+            return;
+          }
+          enter(got);
+        });
+  }
+
+  private void enter(long got) {
+    String key = Keys.member(settings.label());
+    ObjectNode me = Json.object().put("zone", settings.zone()).put("hold", got);
+    store.txn(
+        Store.Urgency.HOLD,
+        new Txn().put(key, me, got),
+        Constants.STATE_TIMEOUT_MS,
+        outcome -> {
+          busy = false;
+          if (outcome == Store.Outcome.OK) {
+            hold = got;
+            nextTouch = clock.now() + Constants.HOLD_TOUCH_MS;
+            LOG.info("joined with hold {}", got);
+          } else {
+            nextTouch = clock.now() + Constants.STATE_RETRY_MS;
+          }
+        });
+  }
+
+  private void touch() {
+    busy = true;
+    long touched = hold;
+    store.request(
+        Store.Urgency.HOLD,
+        "POST",
+        "/holds/" + touched + "/touch",
+        new byte[0],
+        0,
+        Constants.STATE_TIMEOUT_MS,
+        Constants.STATE_TIMEOUT_MS,
+        (status, body) -> {
+          busy = false;
+          if (status == 404) {
+            LOG.warn("hold {} has run out", touched);
+            hold = 0;
+            ended = touched;
+          }
+          nextTouch =
+              clock.now()
+                  + (status == 200 ? Constants.HOLD_TOUCH_MS : Constants.STATE_RETRY_MS);
+        });
+  }
+
+  private void claims() {
+    List<String> wanted = new ArrayList<>();
+    Txn take = new Txn();
+    Txn give = new Txn();
+    for (Part p : parts) {
+      String best = best(p.toString(), p.zone(), view.members.keySet());
+      View.Entry<View.Claim> c = view.claims.get(p.toString());
+      if (c == null) {
+        if (settings.label().equals(best)) {
+          wanted.add(p.toString());
+        }
+      } else if (owned(p) != 0
+          && !settings.label().equals(best(p.toString(), p.zone(), settled()))
+          && give.writes() == 0) {
+        give.when(Keys.claim(p.toString()), c.stamp()).delete(Keys.claim(p.toString()));
+      }
+    }
+    if (!view.claims.containsKey(Keys.DESK)
+        && settings.label().equals(best(Keys.DESK, "", view.members.keySet()))) {
+      wanted.add(0, Keys.DESK);
+    }
+    int most = Math.max(1, settings.state().txnOps() / 2);
+    for (String w : wanted.subList(0, Math.min(most, wanted.size()))) {
+      ObjectNode v = Json.object().put("owner", settings.label()).put("hold", hold);
+      take.when(Keys.claim(w), 0).put(Keys.claim(w), v, hold);
+    }
+    Txn t = take.writes() > 0 ? take : give;
+    if (t.writes() == 0) {
+      return;
+    }
+    claiming = true;
+    store.txn(
+        Store.Urgency.HOLD,
+        t,
+        Constants.STATE_TIMEOUT_MS,
+        outcome -> {
+          claiming = false;
+          nextClaim = clock.now() + (outcome == Store.Outcome.OK ? 0 : Constants.CLAIM_RETRY_MS);
+          if (outcome == Store.Outcome.OK) {
+            LOG.info("{} {}", t == take ? "took" : "handed over", t.then());
+          }
+        });
+  }
+
+  private Set<String> settled() {
+    Set<String> out = new HashSet<>();
+    firstSeen.forEach(
+        (m, since) -> {
+          if (clock.now() - since >= Constants.SETTLE_MS || m.equals(settings.label())) {
+            out.add(m);
+          }
+        });
+    return out;
+  }
+
+  /** Rendezvous hashing: the same answer at every controller that sees the same members. */
+  private String best(String claim, String zone, Set<String> among) {
+    String best = null;
+    boolean bestNear = false;
+    int bestScore = 0;
+    for (String m : among) {
+      View.Entry<View.Member> e = view.members.get(m);
+      if (e == null) {
+        continue;
+      }
+      boolean near = e.value().zone().equals(zone);
+      int score =
+          Hashing.murmur3_32_fixed()
+              .hashString(claim + "|" + m, StandardCharsets.UTF_8)
+              .asInt();
+      boolean better =
+          best == null
+              || (near != bestNear ? near : score != bestScore ? score > bestScore : m.compareTo(best) < 0);
+      if (better) {
+        best = m;
+        bestNear = near;
+        bestScore = score;
+      }
+    }
+    return best;
+  }
+}
--- /dev/null
+++ b/src/main/java/org/baygw/control/model/MachineType.java
@@ -0,0 +1,21 @@
+package org.baygw.control.model;
+
+import java.util.List;
+
+/** A kind of machine the cloud offers. */
+public record MachineType(
+    String name,
+    double cpus,
+    double gpus,
+    double memoryGb,
+    double cacheGb,
+    double fetchGbPerS,
+    double price,
+    double spotPrice,
+    double bootS,
+    List<String> zones) {
+
+  public boolean holds(JobSpec s) {
+    return s.cpus() <= cpus && s.gpus() <= gpus && s.memoryGb() <= memoryGb;
+  }
+}
--- /dev/null
+++ b/src/main/java/org/baygw/control/model/Part.java
@@ -0,0 +1,41 @@
+package org.baygw.control.model;
+
+import com.google.common.hash.Hashing;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import org.baygw.control.Constants;
+
+/** A fixed share of a zone's machines. */
+public record Part(String zone, int index) implements Comparable<Part> {
+  public static Part of(String machine, String zone) {
+    int h = Hashing.murmur3_32_fixed().hashString(machine, StandardCharsets.UTF_8).asInt();
+    return new Part(zone, Math.floorMod(h, Constants.PARTS_PER_ZONE));
+  }
+
+  public static List<Part> all(List<String> zones) {
+    List<Part> out = new ArrayList<>();
+    for (String z : zones) {
+      for (int i = 0; i < Constants.PARTS_PER_ZONE; i++) {
+        out.add(new Part(z, i));
+      }
+    }
+    return out;
+  }
+
+  public static Part parse(String text) {
+    int dot = text.lastIndexOf('.');
+    return new Part(text.substring(0, dot), Integer.parseInt(text.substring(dot + 1)));
+  }
+
+  @Override
+  public int compareTo(Part o) {
+    int c = zone.compareTo(o.zone);
+    return c != 0 ? c : Integer.compare(index, o.index);
+  }
+
+  @Override
+  public String toString() {
+    return zone + "." + index;
+  }
+}
--- /dev/null
+++ b/src/main/java/org/baygw/control/net/Shell.java
@@ -0,0 +1,174 @@
+package org.baygw.control.net;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import org.baygw.control.Constants;
+import org.baygw.control.Controller;
+import org.baygw.control.config.Settings;
+import org.baygw.control.core.Outbox;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Carries inputs to the core and its effects to the network, on one event loop. */
+public final class Shell {
+  private static final Logger LOG = LoggerFactory.getLogger(Shell.class);
+
+  /** Where an answer goes. */
+  private record Pending(Channel channel, boolean keepAlive) {}
+
+  private final Settings settings;
+  private final Controller core;
+  private final EventLoopGroup loop =
+      new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+  private final HttpClient client = new HttpClient(loop);
+  private final Map<Long, Pending> pending = new HashMap<>();
+  private long requests;
+
+  public Shell(Settings settings) {
+    this.settings = settings;
+    this.core = new Controller(settings);
+  }
+
+  /** Listens and runs; returns once the socket for users and workers is open. */
+  public void start() throws InterruptedException {
+    bind(settings.listen());
+    loop.next()
+        .scheduleWithFixedDelay(
+            () -> safely(() -> run(core.tick(now(), wall()))),
+            0,
+            Constants.TICK_MS,
+            TimeUnit.MILLISECONDS);
+  }
+
+  public void stop() {
+    loop.shutdownGracefully(0, 100, TimeUnit.MILLISECONDS);
+  }
+
+  private void bind(Settings.Endpoint at) throws InterruptedException {
+    new ServerBootstrap()
+        .group(loop)
+        .channel(NioServerSocketChannel.class)
+        .option(ChannelOption.SO_REUSEADDR, true)
+        .childOption(ChannelOption.TCP_NODELAY, true)
+        .childHandler(
+            new ChannelInitializer<SocketChannel>() {
+              @Override
+              protected void initChannel(SocketChannel ch) {
+                ch.pipeline()
+                    .addLast(new HttpServerCodec())
+                    .addLast(new HttpObjectAggregator(Constants.MAX_BODY + 1))
+                    .addLast(new Requests());
+              }
+            })
+        .bind(at.host(), at.port())
+        .sync();
+  }
+
+  private static long now() {
+    return System.nanoTime() / 1_000_000;
+  }
+
+  private static long wall() {
+    return System.currentTimeMillis();
+  }
+
+  /** A fault in one input must not end the controller; the next input finds durable state. */
+  private void safely(Runnable r) {
+    try {
+      r.run();
+    } catch (RuntimeException e) {
+      LOG.error("an input failed", e);
+    }
+  }
+
+  private void run(List<Outbox.Effect> effects) {
+    for (Outbox.Effect e : effects) {
+      if (e instanceof Outbox.Call c) {
+        client.call(
+            c,
+            (status, body) ->
+                safely(() -> run(core.outcome(now(), wall(), c.then(), status, body))));
+      } else if (e instanceof Outbox.Answer a) {
+        answer(a);
+      }
+    }
+  }
+
+  private void answer(Outbox.Answer a) {
+    Pending p = pending.remove(a.request());
+    if (p == null || !p.channel().isActive()) {
+      return;
+    }
+    DefaultFullHttpResponse r =
+        new DefaultFullHttpResponse(
+            HttpVersion.HTTP_1_1,
+            HttpResponseStatus.valueOf(a.status()),
+            Unpooled.wrappedBuffer(a.body()));
+    r.headers().set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.APPLICATION_JSON);
+    HttpUtil.setContentLength(r, a.body().length);
+    if (a.retryAfterS() > 0) {
+      r.headers().setInt(HttpHeaderNames.RETRY_AFTER, a.retryAfterS());
+    }
+    if (!p.keepAlive()) {
+      r.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+    }
+    var written = p.channel().writeAndFlush(r);
+    if (!p.keepAlive()) {
+      written.addListener(f -> p.channel().close());
+    }
+  }
+
+  private final class Requests extends SimpleChannelInboundHandler<FullHttpRequest> {
+    @Override
+    protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest r) {
+      long id = ++requests;
+      pending.put(id, new Pending(ctx.channel(), HttpUtil.isKeepAlive(r)));
+      ByteBuf content = r.content();
+      byte[] body = ByteBufUtil.getBytes(content);
+      String uri = r.uri();
+      int query = uri.indexOf('?');
+      String path = query < 0 ? uri : uri.substring(0, query);
+      if (r.decoderResult().isFailure() || body.length > Constants.MAX_BODY) {
+        answer(new Outbox.Answer(id, 400, "{\"error\":\"malformed\"}".getBytes(), 0));
+        return;
+      }
+      safely(() -> run(core.request(now(), wall(), id, r.method().name(), path, body)));
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext ctx) {
+      pending.values().removeIf(p -> p.channel() == ctx.channel());
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+      LOG.debug("a connection failed: {}", cause.toString());
+      ctx.close();
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/org/baygw/control/placement/Room.java
@@ -0,0 +1,92 @@
+package org.baygw.control.placement;
+
+import java.util.Map;
+import org.baygw.control.Constants;
+import org.baygw.control.model.Job;
+import org.baygw.control.model.JobSpec;
+import org.baygw.control.model.Machine;
+import org.baygw.control.model.MachineType;
+import org.baygw.control.model.TaskId;
+import org.baygw.control.store.View;
+
+/** Free room of one machine, changed as tasks are put on it in thought. */
+public final class Room {
+  private final Machine machine;
+  private double cpus;
+  private double gpus;
+  private double memoryGb;
+  private int tasks;
+  private final java.util.Set<String> jobs = new java.util.HashSet<>();
+
+  private Room(Machine machine, MachineType type) {
+    this.machine = machine;
+    this.cpus = type.cpus();
+    this.gpus = type.gpus();
+    this.memoryGb = type.memoryGb();
+  }
+
+  /** Returns null for a machine of an unknown type. */
+  public static Room of(View view, Machine m) {
+    MachineType type = view.type(m.type());
+    if (type == null) {
+      return null;
+    }
+    Room r = new Room(m, type);
+    for (Map.Entry<TaskId, Integer> t : m.tasks().entrySet()) {
+      View.Entry<Job> j = view.jobs.get(t.getKey().job());
+      if (j != null) {
+        r.take(j.value().spec());
+      }
+    }
+    return r;
+  }
+
+  /** An empty machine that is on its way or could be rented. */
+  public static Room empty(String name, MachineType type, String zone, boolean spot) {
+    return new Room(
+        new Machine(name, type.name(), zone, spot, "", Machine.Condition.OK, Map.of()), type);
+  }
+
+  public Machine machine() {
+    return machine;
+  }
+
+  public double freeCpus() {
+    return cpus;
+  }
+
+  public double freeGpus() {
+    return gpus;
+  }
+
+  public double freeMemoryGb() {
+    return memoryGb;
+  }
+
+  public int tasks() {
+    return tasks;
+  }
+
+  /** Whether the rules and the room allow a task of this job here. */
+  public boolean fits(JobSpec s) {
+    return cpus + Constants.EPS >= s.cpus()
+        && gpus + Constants.EPS >= s.gpus()
+        && memoryGb + Constants.EPS >= s.memoryGb()
+        && tasks < Constants.MACHINE_TASKS
+        && allowed(s, machine.type(), machine.zone(), machine.spot())
+        // Copies of a service do not share a machine (the design's anti-colocation).
+        && !(s.service() && jobs.contains(s.id()));
+  }
+
+  public static boolean allowed(JobSpec s, String type, String zone, boolean spot) {
+    return s.typeAllowed(type) && (s.zone() == null || s.zone().equals(zone)) && (s.spot() || !spot);
+  }
+
+  public void take(JobSpec s) {
+    cpus -= s.cpus();
+    gpus -= s.gpus();
+    memoryGb -= s.memoryGb();
+    tasks++;
+    jobs.add(s.id());
+  }
+}
--- /dev/null
+++ b/src/main/java/org/baygw/control/quota/Desk.java
@@ -0,0 +1,370 @@
+package org.baygw.control.quota;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.baygw.control.Constants;
+import org.baygw.control.config.Settings;
+import org.baygw.control.core.Clock;
+import org.baygw.control.membership.Membership;
+import org.baygw.control.model.Job;
+import org.baygw.control.model.JobSpec;
+import org.baygw.control.model.Machine;
+import org.baygw.control.model.Part;
+import org.baygw.control.model.Progress;
+import org.baygw.control.model.Records;
+import org.baygw.control.model.TaskId;
+import org.baygw.control.placement.Room;
+import org.baygw.control.store.Keys;
+import org.baygw.control.store.Store;
+import org.baygw.control.store.Txn;
+import org.baygw.control.store.View;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * The queue, held by one controller. It grants tasks to parts by durable writes; a granted task counts
+ * against its team until its part's owner has proved it gone.
+ */
+public final class Desk {
+  /** A task that found no room now; zone is null where any will do. */
+  public record Unmet(JobSpec spec, String zone) {}
+
+  private static final Logger LOG = LoggerFactory.getLogger(Desk.class);
+
+  private final Clock clock;
+  private final Settings settings;
+  private final Store store;
+  private final View view;
+  private final Membership membership;
+
+  /** Jobs with a write under way, and the grants it would make: they count until it is certain. */
+  private final Map<String, Integer> busy = new HashMap<>();
+
+  private List<Unmet> unmet = List.of();
+  private long nextPass;
+  private long seenChanges = -1;
+
+  /** What a team's live tasks take. */
+  private static final class Use {
+    double cpus;
+    double gpus;
+
+    void add(JobSpec s, int n) {
+      cpus += s.cpus() * n;
+      gpus += s.gpus() * n;
+    }
+  }
+
+  /** A job with tasks that wait. */
+  private record Queued(
+      String id, JobSpec spec, long stamp, boolean guaranteed, int pending, int[] zoneLive) {}
+
+  public Desk(Clock clock, Settings settings, Store store, View view, Membership membership) {
+    this.clock = clock;
+    this.settings = settings;
+    this.store = store;
+    this.view = view;
+    this.membership = membership;
+  }
+
+  /** Tasks that need machines which are not there. */
+  public List<Unmet> unmet() {
+    return unmet;
+  }
+
+  public void tick() {
+    long now = clock.now();
+    if (!store.loaded() || membership.desk() == 0) {
+      unmet = List.of();
+      return;
+    }
+    if (now < nextPass || view.changes() == seenChanges && now < nextPass + 1000) {
+      return;
+    }
+    nextPass = now + Constants.DESK_PASS_MS;
+    seenChanges = view.changes();
+    pass();
+  }
+
+  private void pass() {
+    Map<String, Use> use = new HashMap<>();
+    for (Settings.Team t : settings.teams()) {
+      use.put(t.name(), new Use());
+    }
+    Map<String, Double> demand = new HashMap<>();
+    List<Queued> queue = new ArrayList<>();
+    for (Map.Entry<String, View.Entry<Job>> e : view.jobs.entrySet()) {
+      String id = e.getKey();
+      Job job = e.getValue().value();
+      TreeMap<Integer, View.Entry<Progress>> chunks = view.progress.get(id);
+      if (chunks == null && !job.open()) {
+        continue;
+      }
+      Use u = use.get(job.spec().team());
+      int live = 0;
+      int done = 0;
+      int[] zoneLive = new int[settings.zones().size()];
+      if (chunks != null) {
+        for (View.Entry<Progress> p : chunks.values()) {
+          live += p.value().live.size();
+          done += p.value().done.cardinality();
+          for (Progress.Live l : p.value().live.values()) {
+            int z = settings.zones().indexOf(l.part().zone());
+            if (z >= 0) {
+              zoneLive[z]++;
+            }
+          }
+        }
+      }
+      if (u != null) {
+        u.add(job.spec(), live + busy.getOrDefault(id, 0));
+      }
+      if (!job.open()) {
+        if (live == 0 && !busy.containsKey(id)) {
+          clean(id, chunks);
+        }
+        continue;
+      }
+      if (done == job.spec().tasks()) {
+        if (!busy.containsKey(id)) {
+          finish(id, e.getValue());
+        }
+        continue;
+      }
+      Settings.Team team = settings.team(job.spec().team());
+      if (team == null) {
+        continue;
+      }
+      double sum =
+          demand.merge(
+              team.name(), (job.spec().tasks() - done) * job.spec().cpus(), Double::sum);
+      int pending = job.spec().tasks() - done - live;
+      if (pending > 0 && !busy.containsKey(id)) {
+        queue.add(
+            new Queued(
+                id,
+                job.spec(),
+                e.getValue().stamp(),
+                sum <= team.cpus() + Constants.EPS,
+                pending,
+                zoneLive));
+      }
+    }
+    queue.sort(
+        Comparator.comparing(
+                (Queued q) -> q.spec().priority() == JobSpec.Priority.PRODUCTION ? 0 : 1)
+            .thenComparing(q -> q.guaranteed() ? 0 : 1)
+            .thenComparing(q -> q.spec().priority())
+            .thenComparing(Queued::stamp));
+    Map<Part, List<Room>> rooms = rooms();
+    List<Unmet> left = new ArrayList<>();
+    for (Queued q : queue) {
+      serve(q, rooms, use.get(q.spec().team()), left);
+    }
+    unmet = left;
+  }
+
+  /** What the parts have free, less the tasks granted to them that are on no machine yet. */
+  private Map<Part, List<Room>> rooms() {
+    Map<Part, List<Room>> rooms = new TreeMap<>();
+    for (View.Entry<Machine> e : view.machines.values()) {
+      Machine m = e.value();
+      if (m.condition() == Machine.Condition.OK && !view.drains.containsKey(m.name())
+          && membership.owner(m.part()) != null) {
+        Room r = Room.of(view, m);
+        if (r != null) {
+          rooms.computeIfAbsent(m.part(), k -> new ArrayList<>()).add(r);
+        }
+      }
+    }
+    view.granted.forEach(
+        (part, tasks) -> {
+          for (TaskId t : tasks) {
+            View.Entry<Job> j = view.jobs.get(t.job());
+            if (j != null && !view.places.containsKey(t)) {
+              for (Room r : rooms.getOrDefault(part, List.of())) {
+                if (r.fits(j.value().spec())) {
+                  r.take(j.value().spec());
+                  break;
+                }
+              }
+            }
+          }
+        });
+    return rooms;
+  }
+
+  private void serve(Queued q, Map<Part, List<Room>> rooms, Use use, List<Unmet> left) {
+    JobSpec s = q.spec();
+    Settings.Team team = settings.team(s.team());
+    Map<Integer, Progress> next = new LinkedHashMap<>();
+    int[] zoneLive = q.zoneLive().clone();
+    int granted = 0;
+    int wanting = q.pending();
+    int chunks = (s.tasks() + Constants.CHUNK_TASKS - 1) / Constants.CHUNK_TASKS;
+    boolean full = false;
+    outer:
+    for (int c = 0; c < chunks && wanting > 0; c++) {
+      Progress now = view.progress(q.id(), c);
+      int to = Math.min(s.tasks(), (c + 1) * Constants.CHUNK_TASKS);
+      for (int i = c * Constants.CHUNK_TASKS; i < to && wanting > 0; i++) {
+        if (now != null && (now.done.get(i) || now.live.containsKey(i))) {
+          continue;
+        }
+        if (use.cpus + s.cpus() > team.cpusMax() + Constants.EPS
+            || use.gpus + s.gpus() > team.gpusMax() + Constants.EPS) {
+          break outer;
+        }
+        Part part = full ? null : roomiest(rooms, s, zoneLive);
+        if (part == null) {
+          full = true;
+          if (left.size() > 2_000) {
+            break outer;
+          }
+          use.add(s, 1); // in thought: what is rented for must also be allowed to run
+          left.add(new Unmet(s, zoneFor(s, zoneLive)));
+        } else if (next.containsKey(c) || next.size() < settings.state().txnOps() / 2) {
+          use.add(s, 1);
+          Progress p =
+              next.computeIfAbsent(c, k -> now == null ? new Progress() : now.copy());
+          p.grant(i, part);
+          zoneLive[settings.zones().indexOf(part.zone())]++;
+          granted++;
+        }
+        wanting--;
+      }
+    }
+    if (granted > 0) {
+      grant(q, next, granted);
+    }
+  }
+
+  /** The part with the most free room among those that have a machine for the task. */
+  private Part roomiest(Map<Part, List<Room>> rooms, JobSpec s, int[] zoneLive) {
+    String only = onlyZone(s, zoneLive);
+    Part best = null;
+    Room bestRoom = null;
+    double most = -1;
+    boolean bestSpot = false;
+    for (Map.Entry<Part, List<Room>> e : rooms.entrySet()) {
+      int z = settings.zones().indexOf(e.getKey().zone());
+      if (z < 0 || only != null && !only.equals(e.getKey().zone())
+          || s.spread() && zoneLive[z] >= s.zoneCap()) {
+        continue;
+      }
+      double free = 0;
+      Room fit = null;
+      for (Room r : e.getValue()) {
+        if (r.fits(s)) {
+          free += r.freeCpus();
+          if (fit == null || r.machine().spot() && !fit.machine().spot()) {
+            fit = r;
+          }
+        }
+      }
+      if (fit == null) {
+        continue;
+      }
+      // Tasks that may use spot machines leave the others to those that may not.
+      boolean spot = fit.machine().spot();
+      if (best == null || spot && !bestSpot || spot == bestSpot && free > most) {
+        best = e.getKey();
+        bestRoom = fit;
+        most = free;
+        bestSpot = spot;
+      }
+    }
+    if (bestRoom != null) {
+      bestRoom.take(s);
+    }
+    return best;
+  }
+
+  private String onlyZone(JobSpec s, int[] zoneLive) {
+    if (s.zone() != null) {
+      return s.zone();
+    }
+    if (s.oneZone()) {
+      for (int z = 0; z < zoneLive.length; z++) {
+        if (zoneLive[z] > 0) {
+          return settings.zones().get(z);
+        }
+      }
+    }
+    return null;
+  }
+
+  /** Where a machine for the task would have to be; counts the task there. */
+  private String zoneFor(JobSpec s, int[] zoneLive) {
+    String only = onlyZone(s, zoneLive);
+    if (only == null && (s.spread() || s.oneZone())) {
+      int least = 0;
+      for (int z = 1; z < zoneLive.length; z++) {
+        if (zoneLive[z] < zoneLive[least]) {
+          least = z;
+        }
+      }
+      only = settings.zones().get(least);
+    }
+    if (only != null && settings.zones().contains(only)) {
+      zoneLive[settings.zones().indexOf(only)]++;
+    }
+    return only;
+  }
+
+  private void grant(Queued q, Map<Integer, Progress> next, int count) {
+    Txn txn =
+        new Txn()
+            .when(Keys.claim(Keys.DESK), membership.desk())
+            .when(Keys.job(q.id()), q.stamp());
+    next.forEach(
+        (c, p) -> {
+          String key = Keys.progress(q.id(), c);
+          txn.when(key, view.stamp(key)).put(key, Records.progress(p));
+        });
+    LOG.debug("grant {} tasks of {}", count, q.id());
+    write(q.id(), count, Store.Urgency.GRANT, txn);
+  }
+
+  /** Grants count against the team until it is certain whether they were made. */
+  private void write(String job, int grants, Store.Urgency u, Txn txn) {
+    busy.put(job, grants);
+    store.settle(
+        u,
+        txn,
+        Constants.STATE_TIMEOUT_MS,
+        ok -> {
+          busy.remove(job);
+          nextPass = 0;
+          seenChanges = -1;
+        });
+  }
+
+  private void finish(String id, View.Entry<Job> job) {
+    write(
+        id,
+        0,
+        Store.Urgency.LAUNCH,
+        new Txn()
+            .when(Keys.claim(Keys.DESK), membership.desk())
+            .when(Keys.job(id), job.stamp())
+            .put(Keys.job(id), Records.job(job.value().with(Job.State.DONE))));
+  }
+
+  /** A job that is over and has no task left needs no progress. */
+  private void clean(String id, TreeMap<Integer, View.Entry<Progress>> chunks) {
+    Txn txn = new Txn().when(Keys.claim(Keys.DESK), membership.desk());
+    for (Integer c : chunks.keySet()) {
+      if (txn.writes() < settings.state().txnOps()) {
+        String key = Keys.progress(id, c);
+        txn.when(key, view.stamp(key)).delete(key);
+      }
+    }
+    write(id, 0, Store.Urgency.MOVE, txn);
+  }
+}
--- /dev/null
+++ b/src/main/java/org/baygw/control/store/Store.java
@@ -0,0 +1,382 @@
+package org.baygw.control.store;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.function.Consumer;
+import org.baygw.control.Constants;
+import org.baygw.control.config.Settings;
+import org.baygw.control.core.Clock;
+import org.baygw.control.core.Json;
+import org.baygw.control.core.Outbox;
+import org.baygw.control.core.TokenBucket;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Client of the state service: the copy kept up by watches, conditional writes, and syncs that make
+ * the copy current. Calls wait for tokens in the order of their urgency.
+ */
+public final class Store {
+  /** Urgency of a call, highest first. */
+  public enum Urgency {
+    HOLD,
+    CANCEL,
+    LAUNCH,
+    SUBMIT,
+    GRANT,
+    MOVE
+  }
+
+  /** How a conditional write ended. */
+  public enum Outcome {
+    /** It is durable, and the view has it. */
+    OK,
+    /** A condition did not hold; nothing changed. */
+    CONFLICT,
+    /** Certainly not carried out. */
+    REFUSED,
+    /** No answer: it may be carried out now, later or never. */
+    UNKNOWN
+  }
+
+  private record Waiting(
+      String method,
+      String path,
+      byte[] body,
+      int writes,
+      long deadline,
+      long timeout,
+      Outbox.Callback then) {}
+
+  private static final Logger LOG = LoggerFactory.getLogger(Store.class);
+
+  private final Clock clock;
+  private final Outbox out;
+  private final String addr;
+  private final View view;
+  private final TokenBucket requests;
+  private final TokenBucket writes;
+  private final List<Deque<Waiting>> queues = new ArrayList<>();
+
+  private boolean loaded;
+  private boolean loading;
+  private boolean watching;
+  private long nextWatch;
+  private boolean syncing;
+  private long nextSync;
+  private List<Consumer<Boolean>> syncWaiters = new ArrayList<>();
+  private long lastContact = Long.MIN_VALUE / 2;
+
+  public Store(Clock clock, Outbox out, Settings s, View view) {
+    this.clock = clock;
+    this.out = out;
+    this.addr = s.stateAddr();
+    this.view = view;
+    double rps = s.state().rps() * Constants.STATE_SHARE;
+    double wps = s.state().writeRps() * Constants.STATE_SHARE;
+    this.requests = new TokenBucket(rps, rps);
+    this.writes = new TokenBucket(wps, wps);
+    for (int i = 0; i < Urgency.values().length; i++) {
+      queues.add(new ArrayDeque<>());
+    }
+  }
+
+  /** True once the whole state has been read. */
+  public boolean loaded() {
+    return loaded;
+  }
+
+  /** When the state service last answered this controller. */
+  public long lastContact() {
+    return lastContact;
+  }
+
+  public void tick() {
+    long now = clock.now();
+    if (!loaded) {
+      if (!loading && now >= nextWatch) {
+        loading = true;
+        list("", 0, new HashSet<>());
+      }
+    } else {
+      if (!watching && now >= nextWatch) {
+        watch();
+      }
+      if (!syncing && !syncWaiters.isEmpty() && now >= nextSync) {
+        sync();
+      }
+    }
+    pump();
+  }
+
+  /** Sends a conditional write; it is refused if no token comes free within waitMs. */
+  public void txn(Urgency u, Txn t, long waitMs, Consumer<Outcome> then) {
+    byte[] body = Json.bytes(t.toJson());
+    request(
+        u,
+        "POST",
+        "/txn",
+        body,
+        t.writes(),
+        waitMs,
+        Constants.STATE_TIMEOUT_MS,
+        (status, answer) -> {
+          if (status == 200) {
+            long rev = Json.parse(answer).path("ledgerRev").asLong();
+            // Our own change is known at once; the watch brings it again later, with the same stamp.
+            t.then.forEach(
+                (k, c) -> {
+                  if (c.value() == null) {
+                    view.delete(k, rev);
+                  } else {
+                    view.put(k, c.value(), rev);
+                  }
+                });
+            then.accept(Outcome.OK);
+          } else if (status == 409) {
+            refresh();
+            then.accept(Outcome.CONFLICT);
+          } else if (status == Outbox.NO_ANSWER) {
+            then.accept(Outcome.UNKNOWN);
+          } else {
+            if (status == 400) {
+              LOG.warn("the state service took a write for malformed: {}", new String(answer));
+            }
+            then.accept(Outcome.REFUSED);
+          }
+        });
+  }
+
+  /**
+   * Sends a conditional write until it is certain how it ended. A write without an answer may still
+   * be carried out later, so its sender may not act as if it were not: it is sent again until it
+   * succeeds or fails for good, and after a failure the view is made current first.
+   */
+  public void settle(Urgency u, Txn t, long waitMs, Consumer<Boolean> then) {
+    settle(u, t, waitMs, false, then);
+  }
+
+  private void settle(Urgency u, Txn t, long waitMs, boolean doubt, Consumer<Boolean> then) {
+    txn(
+        u,
+        t,
+        waitMs,
+        outcome -> {
+          switch (outcome) {
+            case OK -> then.accept(true);
+            case CONFLICT -> whenCurrent(() -> then.accept(false));
+            case REFUSED -> {
+              if (doubt) {
+                settle(u, t, waitMs, true, then);
+              } else {
+                then.accept(false);
+              }
+            }
+            case UNKNOWN -> settle(u, t, waitMs, true, then);
+          }
+        });
+  }
+
+  private void whenCurrent(Runnable then) {
+    current(
+        ok -> {
+          if (ok) {
+            then.run();
+          } else {
+            whenCurrent(then);
+          }
+        });
+  }
+
+  /** Any other call; status NOT_SENT where no token came free in time. */
+  public void request(
+      Urgency u,
+      String method,
+      String path,
+      byte[] body,
+      int writeCount,
+      long waitMs,
+      long timeoutMs,
+      Outbox.Callback then) {
+    queues
+        .get(u.ordinal())
+        .add(
+            new Waiting(
+                method, path, body, writeCount, clock.now() + waitMs, timeoutMs, then));
+    pump();
+  }
+
+  /** Runs the action once the view holds all that was durable when this was called, or has failed. */
+  public void current(Consumer<Boolean> then) {
+    syncWaiters.add(then);
+    if (loaded && !syncing && clock.now() >= nextSync) {
+      sync();
+    }
+  }
+
+  /** Asks for a sync soon, with nobody waiting for it. */
+  public void refresh() {
+    if (syncWaiters.isEmpty()) {
+      current(ok -> {});
+    }
+  }
+
+  private void pump() {
+    long now = clock.now();
+    for (Deque<Waiting> q : queues) {
+      while (!q.isEmpty()) {
+        Waiting w = q.peek();
+        if (now > w.deadline) {
+          q.poll();
+          w.then.done(Outbox.NOT_SENT, new byte[0]);
+          continue;
+        }
+        if (w.writes > 0 && !writes.take(now, w.writes)) {
+          break;
+        }
+        if (!requests.take(now, 1)) {
+          break;
+        }
+        q.poll();
+        send(w.method, w.path, w.body, w.timeout, w.then);
+      }
+      if (!q.isEmpty()) {
+        return; // the less urgent must not take what the more urgent wait for
+      }
+    }
+  }
+
+  private void send(String method, String path, byte[] body, long timeout, Outbox.Callback then) {
+    out.call(
+        addr,
+        method,
+        path,
+        body,
+        timeout,
+        (status, answer) -> {
+          if (status == 429 || status == 503) {
+            requests.rest(clock.now(), Constants.BUCKET_REST_MS);
+            writes.rest(clock.now(), Constants.BUCKET_REST_MS);
+          } else if (status > 0 && status < 500) {
+            lastContact = clock.now();
+          }
+          then.done(status, answer);
+        });
+  }
+
+  private void list(String after, long firstRev, Set<String> seen) {
+    String path =
+        "/kv?under=" + Keys.ROOT + "&page=500" + (after.isEmpty() ? "" : "&after=" + after);
+    request(
+        Urgency.HOLD,
+        "GET",
+        path,
+        null,
+        0,
+        Constants.STATE_TIMEOUT_MS,
+        Constants.STATE_TIMEOUT_MS * 2L,
+        (status, answer) -> {
+          JsonNode n = Json.parse(answer);
+          if (status != 200 || !n.path("ledgerRev").isNumber()) {
+            loading = false;
+            nextWatch = clock.now() + Constants.STATE_RETRY_MS;
+            return;
+          }
+          long rev = firstRev == 0 ? n.path("ledgerRev").asLong() : firstRev;
+          String last = after;
+          for (JsonNode e : n.path("entries")) {
+            last = e.path("key").asText();
+            seen.add(last);
+            view.put(last, e.path("value"), e.path("stamp").asLong());
+          }
+          if (n.path("more").asBoolean()) {
+            list(last, rev, seen);
+            return;
+          }
+          // After a gap in the watch: what is no longer listed was deleted meanwhile.
+          for (String key : view.keys()) {
+            if (!seen.contains(key) && view.stamp(key) <= rev) {
+              view.delete(key, rev);
+            }
+          }
+          view.reached(rev);
+          loading = false;
+          loaded = true;
+          LOG.info("read {} keys at revision {}", seen.size(), rev);
+        });
+  }
+
+  private void watch() {
+    if (!requests.take(clock.now(), 1)) {
+      return;
+    }
+    watching = true;
+    nextWatch = clock.now() + Constants.WATCH_GAP_MS;
+    send(
+        "GET",
+        "/watch?under=" + Keys.ROOT + "&after=" + view.revision() + "&waitMs="
+            + Constants.WATCH_WAIT_MS,
+        null,
+        Constants.WATCH_WAIT_MS + 2L * Constants.STATE_TIMEOUT_MS,
+        (status, answer) -> {
+          watching = false;
+          if (!events(status, answer)) {
+            nextWatch = clock.now() + Constants.STATE_RETRY_MS;
+          }
+        });
+  }
+
+  private void sync() {
+    if (!requests.take(clock.now(), 1)) {
+      return;
+    }
+    syncing = true;
+    nextSync = clock.now() + Constants.SYNC_GAP_MS;
+    List<Consumer<Boolean>> waiters = syncWaiters;
+    syncWaiters = new ArrayList<>();
+    send(
+        "GET",
+        "/watch?under=" + Keys.ROOT + "&after=" + view.revision() + "&waitMs=0",
+        null,
+        Constants.STATE_TIMEOUT_MS,
+        (status, answer) -> {
+          syncing = false;
+          boolean ok = events(status, answer);
+          if (!ok) {
+            nextSync = clock.now() + Constants.STATE_RETRY_MS;
+          }
+          for (Consumer<Boolean> w : waiters) {
+            w.accept(ok);
+          }
+        });
+  }
+
+  private boolean events(int status, byte[] answer) {
+    if (status == 410) {
+      loaded = false; // too far behind: everything is read again
+      return false;
+    }
+    JsonNode n = status == 200 ? Json.parse(answer) : null;
+    if (n == null || !n.path("ledgerRev").isNumber()) {
+      return false;
+    }
+    for (JsonNode e : n.path("events")) {
+      long stamp = e.path("stamp").asLong();
+      if (stamp <= view.revision()) {
+        continue; // an overtaken answer
+      }
+      if (e.has("write")) {
+        view.put(e.path("write").asText(), e.path("value"), stamp);
+      } else {
+        view.delete(e.path("delete").asText(), stamp);
+      }
+    }
+    view.reached(n.path("ledgerRev").asLong());
+    return true;
+  }
+}
--- /dev/null
+++ b/src/main/java/org/baygw/control/store/Txn.java
@@ -0,0 +1,66 @@
+package org.baygw.control.store;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import org.baygw.control.core.Json;
+
+/** A conditional write under construction. */
+public final class Txn {
+  /** A put, or a delete where the value is null; hold 0 means none. */
+  record Change(JsonNode value, long hold) {}
+
+  private final Map<String, Long> when = new LinkedHashMap<>();
+  final Map<String, Change> then = new LinkedHashMap<>();
+
+  public Txn when(String key, long stamp) {
+    when.put(key, stamp);
+    return this;
+  }
+
+  public Txn put(String key, JsonNode value) {
+    then.put(key, new Change(value, 0));
+    return this;
+  }
+
+  public Txn put(String key, JsonNode value, long hold) {
+    then.put(key, new Change(value, hold));
+    return this;
+  }
+
+  public Txn delete(String key) {
+    then.put(key, new Change(null, 0));
+    return this;
+  }
+
+  /** The keys that would change. */
+  public java.util.Set<String> then() {
+    return then.keySet();
+  }
+
+  public int writes() {
+    return then.size();
+  }
+
+  ObjectNode toJson() {
+    ObjectNode n = Json.object();
+    ArrayNode w = n.putArray("when");
+    when.forEach((k, s) -> w.addObject().put("key", k).put("stamp", s));
+    ArrayNode t = n.putArray("then");
+    then.forEach(
+        (k, c) -> {
+          if (c.value() == null) {
+            t.addObject().put("delete", k);
+          } else {
+            ObjectNode o = t.addObject().put("write", k);
+            o.set("value", c.value());
+            if (c.hold() != 0) {
+              o.put("hold", c.hold());
+            }
+          }
+        });
+    return n;
+  }
+}
--- /dev/null
+++ b/src/main/java/org/baygw/control/workers/Agent.java
@@ -0,0 +1,93 @@
+package org.baygw.control.workers;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Set;
+import org.baygw.control.Constants;
+import org.baygw.control.model.TaskId;
+
+/** What a part's owner knows of one worker, in memory only and for one claim only. */
+final class Agent {
+  /** A launch that may still take effect. */
+  static final class Flight {
+    /** Highest token of a direct launch without an answer; 0: none. */
+    long directToken;
+
+    /** Tick of the report whose response carried the launch; 0: none. */
+    long replyTick;
+
+    boolean over() {
+      return directToken == 0 && replyTick == 0;
+    }
+  }
+
+  final String name;
+  final long claim;
+  final long since;
+  int raises;
+  String addr = "";
+  long session;
+  long tick;
+  long seenToken;
+  long lastHeard;
+  long lastAnswered;
+  long noticeUntil;
+  Map<TaskId, WorkerCodec.Seen> seen = new LinkedHashMap<>();
+  final Map<TaskId, Flight> flights = new HashMap<>();
+  final Map<TaskId, Long> killed = new HashMap<>();
+  final Set<String> images = new HashSet<>();
+  final Set<String> failedJobs = new HashSet<>();
+  int errors;
+  boolean sick;
+
+  /** A durable change of this machine's record is under way. */
+  boolean busy;
+
+  boolean directBusy;
+  boolean leaseOver;
+
+  Agent(String name, long claim, long now) {
+    this.name = name;
+    this.claim = claim;
+    this.since = now;
+  }
+
+  /** Grows with the claim and, within a claim, with every raise. */
+  long token() {
+    return claim << Constants.TOKEN_BITS | raises;
+  }
+
+  /** Whether the worker takes commands from this claim only, so that nobody else's can count. */
+  boolean trusted() {
+    return seenToken >= claim << Constants.TOKEN_BITS;
+  }
+
+  boolean newer(long s, long t) {
+    return s > session || s == session && t > tick;
+  }
+
+  Flight flight(TaskId t) {
+    return flights.computeIfAbsent(t, k -> new Flight());
+  }
+
+  /**
+   * A late launch must never find its worker after the task went elsewhere: a flight ends only when
+   * the worker can no longer carry it out.
+   */
+  void endFlights(boolean checkin) {
+    flights
+        .values()
+        .removeIf(
+            f -> {
+              if (f.directToken != 0 && seenToken > f.directToken) {
+                f.directToken = 0; // the worker now refuses that token
+              }
+              if (checkin && f.replyTick != 0 && tick > f.replyTick) {
+                f.replyTick = 0; // it reports again only after it took or dropped that response
+              }
+              return f.over();
+            });
+  }
+}
--- /dev/null
+++ b/src/main/java/org/baygw/control/workers/Workers.java
@@ -0,0 +1,762 @@
+package org.baygw.control.workers;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import org.baygw.control.Constants;
+import org.baygw.control.config.Settings;
+import org.baygw.control.core.Clock;
+import org.baygw.control.core.Json;
+import org.baygw.control.core.Outbox;
+import org.baygw.control.membership.Membership;
+import org.baygw.control.model.Job;
+import org.baygw.control.model.JobSpec;
+import org.baygw.control.model.Machine;
+import org.baygw.control.model.Part;
+import org.baygw.control.model.Progress;
+import org.baygw.control.model.Records;
+import org.baygw.control.model.TaskId;
+import org.baygw.control.placement.Room;
+import org.baygw.control.store.Keys;
+import org.baygw.control.store.Store;
+import org.baygw.control.store.Txn;
+import org.baygw.control.store.View;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * The owner's side of the workers: reports in, commands out, and the only writer of a machine's
+ * record. A task stands in the record before its launch is sent and until it is proved gone, so any
+ * later owner knows where it may be.
+ */
+public final class Workers {
+  private static final Logger LOG = LoggerFactory.getLogger(Workers.class);
+
+  /** How a task left its machine. */
+  private enum End {
+    DONE,
+    BACK
+  }
+
+  private final Clock clock;
+  private final Outbox out;
+  private final Settings settings;
+  private final Store store;
+  private final View view;
+  private final Membership membership;
+  private final Map<String, Agent> agents = new TreeMap<>();
+  private final Set<String> busyChunks = new HashSet<>();
+
+  /** Machines the cloud has taken back: a late report must not bring one to life again. */
+  private final Set<String> buried = new HashSet<>();
+
+  private final Set<TaskId> placing = new HashSet<>();
+  private final Map<TaskId, Long> unplacedSince = new HashMap<>();
+  private final Map<String, Backoff> backoffs = new HashMap<>();
+  private long nextPass;
+  private long seenChanges = -1;
+
+  /** A job whose tasks fail waits longer and longer. */
+  private static final class Backoff {
+    int errors;
+    long until;
+    final Map<String, Long> machines = new HashMap<>();
+  }
+
+  public Workers(
+      Clock clock,
+      Outbox out,
+      Settings settings,
+      Store store,
+      View view,
+      Membership membership) {
+    this.clock = clock;
+    this.out = out;
+    this.settings = settings;
+    this.store = store;
+    this.view = view;
+    this.membership = membership;
+  }
+
+  /** A worker's report. */
+  public void checkin(long request, byte[] body) {
+    WorkerCodec.Report r = WorkerCodec.decode(Json.parse(body));
+    if (r == null) {
+      out.answer(request, 400, Json.bytes(Json.object().put("error", "no report")));
+      return;
+    }
+    if (!store.loaded()) {
+      out.answer(request, 503, Json.bytes(Json.object().put("error", "not read in yet")));
+      return;
+    }
+    Part part = Part.of(r.machine(), r.zone());
+    long claim = membership.owned(part);
+    if (claim == 0) {
+      String owner = membership.owner(part);
+      boolean other = owner != null && !owner.equals(settings.label());
+      out.answer(request, 421, Json.bytes(WorkerCodec.home(other ? owner : null)));
+      return;
+    }
+    Agent a = agent(r.machine(), claim);
+    if (r.token() > a.token()) {
+      // Someone with a newer claim speaks to it; a 200 of ours would only hold it here.
+      store.refresh();
+      out.answer(request, 421, Json.bytes(WorkerCodec.home(null)));
+      return;
+    }
+    View.Entry<View.Drain> drain = view.drains.get(r.machine());
+    if (!a.newer(r.session(), r.tick()) || drain != null && drain.value().gone()
+        || buried.contains(r.machine())) {
+      out.answer(request, 503, Json.bytes(Json.object().put("error", "an old report")));
+      return;
+    }
+    take(a, r, true);
+    View.Entry<Machine> m = view.machines.get(a.name);
+    List<WorkerCodec.Order> orders = List.of();
+    if (m == null) {
+      register(a, r);
+    } else {
+      settleEnded(a, m);
+      orders = orders(a, view.machines.get(a.name), true);
+      for (WorkerCodec.Order o : orders) {
+        if (o.verb() == WorkerCodec.Verb.LAUNCH) {
+          a.flight(o.task()).replyTick = r.tick();
+        }
+      }
+    }
+    a.lastAnswered = clock.now();
+    a.leaseOver = false;
+    out.answer(request, 200, Json.bytes(WorkerCodec.response(a.token(), orders)));
+  }
+
+  public void tick() {
+    if (!store.loaded()) {
+      return;
+    }
+    long now = clock.now();
+    if (now < nextPass && view.changes() == seenChanges) {
+      return;
+    }
+    nextPass = now + 200;
+    seenChanges = view.changes();
+    agents
+        .values()
+        .removeIf(a -> !a.busy && !owns(a));
+    Set<String> silent = new HashSet<>();
+    int mine = 0;
+    for (View.Entry<Machine> e : List.copyOf(view.machines.values())) {
+      Machine m = e.value();
+      long claim = membership.owned(m.part());
+      if (claim == 0) {
+        continue;
+      }
+      mine++;
+      Agent a = agent(m.name(), claim);
+      if (a.addr.isEmpty()) {
+        a.addr = m.addr();
+      }
+      if (silent(a)) {
+        silent.add(m.name());
+      }
+    }
+    for (View.Entry<Machine> e : List.copyOf(view.machines.values())) {
+      Agent a = agents.get(e.value().name());
+      if (a != null && membership.owned(e.value().part()) == a.claim && !a.busy) {
+        boolean ours = silent.size() > 2 && silent.size() > mine * Constants.LOST_SHARE_MAX;
+        watchOver(a, e, silent.contains(a.name) && !ours);
+      }
+    }
+    place();
+  }
+
+  private boolean owns(Agent a) {
+    View.Entry<Machine> m = view.machines.get(a.name);
+    return m != null && membership.owned(m.value().part()) == a.claim
+        || clock.now() - a.since < 10_000 && m == null;
+  }
+
+  private Agent agent(String machine, long claim) {
+    Agent a = agents.get(machine);
+    if (a == null || a.claim != claim) {
+      // Nothing known under another claim may count as proof under this one.
+      a = new Agent(machine, claim, clock.now());
+      agents.put(machine, a);
+    }
+    return a;
+  }
+
+  private boolean silent(Agent a) {
+    double reports = Constants.LOST_REPORTS * settings.workers().reportS() * 1000;
+    // After a takeover a worker first waits for its old owner's answer and then finds its way here.
+    return a.lastHeard > 0
+        ? clock.now() - a.lastHeard > reports
+        : clock.now() - a.since > reports + 6_000;
+  }
+
+  /** Takes in a report, from wherever it came. */
+  private void take(Agent a, WorkerCodec.Report r, boolean checkin) {
+    if (r.session() > a.session) {
+      a.flights.clear(); // commands of an earlier session are refused
+      a.killed.clear();
+      a.images.clear();
+    }
+    boolean trustedBefore = a.trusted();
+    a.session = r.session();
+    a.tick = r.tick();
+    a.seenToken = Math.max(a.seenToken, r.token());
+    a.addr = r.addr();
+    a.seen = r.tasks();
+    a.lastHeard = clock.now();
+    if (a.trusted() && !trustedBefore) {
+      a.lastAnswered = clock.now(); // until now a former owner may have answered
+    }
+    a.noticeUntil = r.noticeS() == null ? 0 : clock.now() + (long) (r.noticeS() * 1000);
+    a.endFlights(checkin);
+    a.killed.keySet().retainAll(r.tasks().keySet());
+    for (Map.Entry<TaskId, WorkerCodec.Seen> t : r.tasks().entrySet()) {
+      View.Entry<Job> j = view.jobs.get(t.getKey().job());
+      if (j != null && t.getValue().state() != WorkerCodec.State.FETCHING) {
+        a.images.add(j.value().spec().image());
+      }
+    }
+  }
+
+  private void register(Agent a, WorkerCodec.Report r) {
+    if (a.busy) {
+      return;
+    }
+    Machine m =
+        new Machine(
+            r.machine(), r.type(), r.zone(), r.spot(), r.addr(), Machine.Condition.OK, Map.of());
+    write(
+        a,
+        Store.Urgency.LAUNCH,
+        new Txn()
+            .when(Keys.machine(m.name()), 0)
+            .when(Keys.claim(m.part().toString()), a.claim)
+            .put(Keys.machine(m.name()), Records.machine(m)));
+  }
+
+  /** One durable change of a machine's record at a time, and none is left in doubt. */
+  private void write(Agent a, Store.Urgency u, Txn t) {
+    write(a, u, t, Set.of(), () -> {}, () -> {});
+  }
+
+  private void write(
+      Agent a, Store.Urgency u, Txn t, Set<String> chunks, Runnable always, Runnable ok) {
+    a.busy = true;
+    busyChunks.addAll(chunks);
+    store.settle(
+        u,
+        t,
+        Constants.STATE_TIMEOUT_MS,
+        done -> {
+          a.busy = false;
+          busyChunks.removeAll(chunks);
+          always.run();
+          nextPass = 0;
+          if (done) {
+            ok.run();
+          }
+        });
+  }
+
+  /** Everything about one machine that does not wait for its report. */
+  private void watchOver(Agent a, View.Entry<Machine> e, boolean lost) {
+    Machine m = e.value();
+    View.Entry<View.Drain> drain = view.drains.get(m.name());
+    if (drain != null && drain.value().gone()) {
+      bury(a, e, drain);
+      return;
+    }
+    long lease = (long) (settings.workers().leaseS() * 1000 * (1 + Constants.DRIFT));
+    if (a.trusted()
+        && clock.now() > a.lastAnswered + lease + Constants.LEASE_MARGIN_MS
+        && !a.leaseOver) {
+      // Since it saw our token only our answers count, and the last of them is too old: the worker
+      // has ended its session and all tasks with it. Direct launches need the old session.
+      a.leaseOver = true;
+      a.flights.clear();
+      a.seen = new LinkedHashMap<>();
+      a.session++;
+      a.tick = -1;
+    }
+    Machine.Condition want = m.condition();
+    if (lost || a.sick) {
+      want = Machine.Condition.GIVE_UP;
+    } else if (a.noticeUntil > 0) {
+      want = Machine.Condition.LEAVING;
+    } else if (a.lastHeard > 0) {
+      want = Machine.Condition.OK;
+    }
+    if (want != m.condition()
+        && (want == Machine.Condition.GIVE_UP || drain == null)) {
+      LOG.info("{} is {}", m.name(), want);
+      write(
+          a,
+          Store.Urgency.LAUNCH,
+          new Txn()
+              .when(Keys.machine(m.name()), e.stamp())
+              .when(Keys.claim(m.part().toString()), a.claim)
+              .put(Keys.machine(m.name()), Records.machine(m.with(want))));
+      return;
+    }
+    if (settleEnded(a, e)) {
+      return;
+    }
+    urgent(a, e);
+  }
+
+  /** The cloud has taken the machine back: nothing on it is left. */
+  private void bury(Agent a, View.Entry<Machine> e, View.Entry<View.Drain> drain) {
+    Map<TaskId, End> ends = new LinkedHashMap<>();
+    e.value().tasks().keySet().forEach(t -> ends.put(t, End.BACK));
+    buried.add(a.name);
+    settle(a, e, ends, drain);
+  }
+
+  /** Moves what is proved gone out of the machine's record. Returns true if a write was begun. */
+  private boolean settleEnded(Agent a, View.Entry<Machine> e) {
+    if (a.busy) {
+      return true;
+    }
+    Map<TaskId, End> ends = new LinkedHashMap<>();
+    for (Map.Entry<TaskId, Integer> t : e.value().tasks().entrySet()) {
+      WorkerCodec.Seen s = a.seen.get(t.getKey());
+      if (s != null && s.attempt() == t.getValue()) {
+        if (s.state() == WorkerCodec.State.ENDED) {
+          ends.put(t.getKey(), s.cause() == WorkerCodec.Cause.DONE ? End.DONE : End.BACK);
+        }
+      } else if (a.trusted() && (s == null || s.state() == WorkerCodec.State.ENDED)
+          && !a.flights.containsKey(t.getKey())
+          && (a.leaseOver || !wanted(t.getKey(), t.getValue(), e.value()))) {
+        ends.put(t.getKey(), End.BACK);
+      }
+    }
+    return !ends.isEmpty() && settle(a, e, ends, null);
+  }
+
+  /** Whether the task is to run on under this attempt. */
+  private boolean wanted(TaskId t, int attempt, Machine m) {
+    View.Entry<Job> j = view.jobs.get(t.job());
+    if (j == null || !j.value().open()) {
+      return false;
+    }
+    Progress p = view.progress(t.job(), t.index() / Constants.CHUNK_TASKS);
+    Progress.Live l = p == null ? null : p.live.get(t.index());
+    return l != null && l.attempt() == attempt && !l.stop() && l.part().equals(m.part());
+  }
+
+  private boolean settle(
+      Agent a, View.Entry<Machine> e, Map<TaskId, End> ends, View.Entry<View.Drain> drain) {
+    Machine m = e.value();
+    Map<String, Progress> next = new LinkedHashMap<>();
+    Map<TaskId, Integer> left = new LinkedHashMap<>(m.tasks());
+    Txn txn =
+        new Txn()
+            .when(Keys.machine(m.name()), e.stamp())
+            .when(Keys.claim(m.part().toString()), a.claim);
+    List<Runnable> after = new ArrayList<>();
+    for (Map.Entry<TaskId, End> end : ends.entrySet()) {
+      TaskId t = end.getKey();
+      int chunk = t.index() / Constants.CHUNK_TASKS;
+      String key = Keys.progress(t.job(), chunk);
+      if (busyChunks.contains(key)) {
+        continue;
+      }
+      // One write for the machine, one for its drain, and up to two for each chunk of a job.
+      if (!next.containsKey(key) && 2 * (next.size() + 1) + 2 > settings.state().txnOps()) {
+        continue;
+      }
+      Progress now = view.progress(t.job(), chunk);
+      Integer attempt = left.remove(t);
+      Progress.Live l = now == null ? null : now.live.get(t.index());
+      if (l == null || l.attempt() != attempt) {
+        continue; // the job is over, or its record moved on
+      }
+      Progress p = next.computeIfAbsent(key, k -> now.copy());
+      if (end.getValue() == End.DONE) {
+        p.complete(t.index());
+      } else {
+        p.back(t.index());
+      }
+      after.add(() -> learn(a, t, end.getValue()));
+    }
+    if (left.size() == m.tasks().size() && drain == null) {
+      return false;
+    }
+    Set<String> chunks = new HashSet<>(next.keySet());
+    for (Map.Entry<String, Progress> n : next.entrySet()) {
+      String[] path = n.getKey().split("/");
+      String job = path[2];
+      int chunk = Integer.parseInt(path[3]);
+      txn.when(n.getKey(), view.stamp(n.getKey()));
+      View.Entry<Job> j = view.jobs.get(job);
+      if (j != null && j.value().open() && j.value().chunks() == 1
+          && n.getValue().done.cardinality() == j.value().spec().tasks()) {
+        // The last task: the job is done in the same write, and needs no progress any more.
+        txn.when(Keys.job(job), j.stamp())
+            .put(Keys.job(job), Records.job(j.value().with(Job.State.DONE)))
+            .delete(n.getKey());
+      } else {
+        txn.put(n.getKey(), Records.progress(n.getValue()));
+      }
+      LOG.debug("settle {} chunk {} on {}", job, chunk, m.name());
+    }
+    if (drain != null && left.isEmpty()) {
+      txn.delete(Keys.machine(m.name()))
+          .when(Keys.drain(m.name()), drain.stamp())
+          .delete(Keys.drain(m.name()));
+    } else if (left.size() == m.tasks().size()) {
+      return false;
+    } else {
+      txn.put(Keys.machine(m.name()), Records.machine(m.withTasks(left)));
+    }
+    write(a, Store.Urgency.LAUNCH, txn, chunks, () -> {}, () -> after.forEach(Runnable::run));
+    return true;
+  }
+
+  /** Tells a machine that fails everything from a job that fails everywhere. */
+  private void learn(Agent a, TaskId t, End end) {
+    WorkerCodec.Seen s = a.seen.get(t);
+    if (end == End.DONE) {
+      a.errors = 0;
+      a.failedJobs.clear();
+      backoffs.remove(t.job());
+      return;
+    }
+    if (s == null || s.state() != WorkerCodec.State.ENDED
+        || s.cause() != WorkerCodec.Cause.ERROR) {
+      return;
+    }
+    a.errors++;
+    a.failedJobs.add(t.job());
+    Backoff b = backoffs.computeIfAbsent(t.job(), k -> new Backoff());
+    boolean elsewhere = !b.machines.isEmpty() && !b.machines.containsKey(a.name);
+    b.machines.put(a.name, clock.now() + Constants.ERROR_BACKOFF_MAX_MS);
+    if (elsewhere) {
+      b.errors++;
+      b.until =
+          clock.now()
+              + Math.min(
+                  Constants.ERROR_BACKOFF_MAX_MS,
+                  Constants.ERROR_BACKOFF_MS << Math.min(b.errors, 6));
+    }
+    if (a.errors >= Constants.SICK_ERRORS && a.failedJobs.size() > 1) {
+      a.sick = true;
+    }
+  }
+
+  /** What the worker is to do now, by what it last reported. */
+  private List<WorkerCodec.Order> orders(Agent a, View.Entry<Machine> e, boolean reply) {
+    List<WorkerCodec.Order> out = new ArrayList<>();
+    if (e == null) {
+      return out;
+    }
+    Machine m = e.value();
+    for (Map.Entry<TaskId, WorkerCodec.Seen> t : a.seen.entrySet()) {
+      WorkerCodec.Seen s = t.getValue();
+      boolean ours = Integer.valueOf(s.attempt()).equals(m.tasks().get(t.getKey()));
+      if (s.state() == WorkerCodec.State.ENDED) {
+        // Only what is durable is forgotten: until then the report is the only record of the end.
+        if (reply && !ours && !a.busy) {
+          out.add(
+              new WorkerCodec.Order(WorkerCodec.Verb.FORGET, t.getKey(), s.attempt(), 0));
+        }
+        continue;
+      }
+      Double grace = grace(a, t.getKey(), s, m, ours);
+      Long before = a.killed.get(t.getKey());
+      if (grace != null
+          && (before == null
+              || clock.now() - before > settings.workers().reportS() * 1000 && grace == 0)) {
+        a.killed.put(t.getKey(), clock.now());
+        out.add(new WorkerCodec.Order(WorkerCodec.Verb.KILL, t.getKey(), s.attempt(), grace));
+      }
+    }
+    if (a.busy || !a.trusted() || a.leaseOver || view.drains.containsKey(m.name())) {
+      return out;
+    }
+    for (Map.Entry<TaskId, Integer> t : m.tasks().entrySet()) {
+      Agent.Flight f = a.flights.get(t.getKey());
+      boolean open = f == null || reply && f.replyTick == 0 && !a.directBusy;
+      if (open && !a.seen.containsKey(t.getKey()) && wanted(t.getKey(), t.getValue(), m)) {
+        out.add(
+            new WorkerCodec.Order(WorkerCodec.Verb.LAUNCH, t.getKey(), t.getValue(), 0));
+      }
+    }
+    return out;
+  }
+
+  /** Seconds a task gets to save when it is to stop; null if it is to run on. */
+  private Double grace(Agent a, TaskId t, WorkerCodec.Seen s, Machine m, boolean ours) {
+    View.Entry<Job> j = view.jobs.get(t.job());
+    if (!ours || j == null || !j.value().open()) {
+      return a.busy && j != null && j.value().open() ? null : Double.valueOf(0);
+    }
+    JobSpec spec = j.value().spec();
+    if (!wanted(t, s.attempt(), m)) {
+      return spec.checkpoints() ? spec.saveS() * 2 + 1 : 0;
+    }
+    if (a.noticeUntil > 0 && spec.checkpoints() && s.state() != WorkerCodec.State.SAVING) {
+      return spec.saveS() * 2 + 1; // the notice: save while there is time
+    }
+    return null;
+  }
+
+  /** Sends at once what should not wait for the next report. */
+  private void urgent(Agent a, View.Entry<Machine> e) {
+    if (a.directBusy || a.busy || a.addr.isEmpty() || !a.trusted() || a.leaseOver
+        || clock.now() - a.lastHeard > settings.workers().reportS() * 2_000) {
+      return;
+    }
+    List<WorkerCodec.Order> orders = orders(a, e, false);
+    if (orders.isEmpty()) {
+      return;
+    }
+    long token = a.token();
+    List<TaskId> launched = new ArrayList<>();
+    for (WorkerCodec.Order o : orders) {
+      if (o.verb() == WorkerCodec.Verb.LAUNCH) {
+        a.flight(o.task()).directToken = token;
+        launched.add(o.task());
+      }
+    }
+    a.directBusy = true;
+    long session = a.session;
+    out.call(
+        a.addr,
+        "POST",
+        "/orders",
+        Json.bytes(WorkerCodec.direct(token, session, orders)),
+        Constants.ORDERS_TIMEOUT_MS,
+        (status, body) -> answered(a, launched, status, body));
+  }
+
+  private void answered(Agent a, List<TaskId> launched, int status, byte[] body) {
+    a.directBusy = false;
+    nextPass = 0;
+    boolean certain =
+        status == 200 || status == 409 || status == 400 || status == Outbox.NOT_SENT;
+    if (certain) {
+      for (TaskId t : launched) {
+        Agent.Flight f = a.flights.get(t);
+        if (f != null) {
+          f.directToken = 0;
+          if (f.over()) {
+            a.flights.remove(t);
+          }
+        }
+      }
+    } else {
+      // It may be carried out minutes later. A higher token, once seen there, rules that out.
+      a.raises++;
+    }
+    JsonNode n = status == 200 || status == 409 ? Json.parse(body) : null;
+    WorkerCodec.Report r = n == null ? null : WorkerCodec.decode(n);
+    if (r != null && r.machine().equals(a.name) && agents.get(a.name) == a) {
+      if (r.token() > a.token()) {
+        store.refresh();
+      } else if (a.newer(r.session(), r.tick()) && !a.leaseOver) {
+        take(a, r, false);
+      }
+    }
+  }
+
+  /** First fit for the tasks granted to this controller's parts, in the machines of that part. */
+  private void place() {
+    long now = clock.now();
+    Set<TaskId> waiting = new HashSet<>();
+    Map<String, List<TaskId>> back = new LinkedHashMap<>();
+    for (Part part : membership.parts()) {
+      long claim = membership.owned(part);
+      if (claim == 0 || view.granted(part).isEmpty()) {
+        continue;
+      }
+      List<TaskId> todo = new ArrayList<>();
+      for (TaskId t : view.granted(part)) {
+        if (!placing(t)
+            && !busyChunks.contains(
+                Keys.progress(t.job(), t.index() / Constants.CHUNK_TASKS))) {
+          todo.add(t);
+        }
+      }
+      if (todo.isEmpty()) {
+        continue;
+      }
+      todo.sort(Comparator.comparing((TaskId t) -> priority(t)).thenComparing(t -> t));
+      List<Room> rooms = rooms(part, claim);
+      Map<String, Map<TaskId, Integer>> onto = new LinkedHashMap<>();
+      for (TaskId t : todo) {
+        View.Entry<Job> j = view.jobs.get(t.job());
+        Progress.Live l =
+            view.progress(t.job(), t.index() / Constants.CHUNK_TASKS).live.get(t.index());
+        waiting.add(t);
+        long since = unplacedSince.computeIfAbsent(t, k -> now);
+        boolean over = j == null || !j.value().open() || l.stop();
+        Room r = over ? null : firstFit(rooms, j.value().spec());
+        if (r != null) {
+          r.take(j.value().spec());
+          onto.computeIfAbsent(r.machine().name(), k -> new LinkedHashMap<>())
+              .put(t, l.attempt());
+        } else if (over || now - since > Constants.UNGRANT_MS) {
+          back.computeIfAbsent(part.toString(), k -> new ArrayList<>()).add(t);
+        }
+      }
+      onto.forEach((machine, tasks) -> put(agents.get(machine), tasks));
+    }
+    unplacedSince.keySet().retainAll(waiting);
+    back.forEach(this::ungrant);
+  }
+
+  private JobSpec.Priority priority(TaskId t) {
+    View.Entry<Job> j = view.jobs.get(t.job());
+    return j == null ? JobSpec.Priority.LOW : j.value().spec().priority();
+  }
+
+  private List<Room> rooms(Part part, long claim) {
+    List<Room> out = new ArrayList<>();
+    for (View.Entry<Machine> e : view.machines.values()) {
+      Machine m = e.value();
+      Agent a = agents.get(m.name());
+      if (!m.part().equals(part) || a == null || a.claim != claim || a.busy || !a.trusted()
+          || a.leaseOver || a.noticeUntil > 0 || m.condition() != Machine.Condition.OK
+          || view.drains.containsKey(m.name())
+          || clock.now() - a.lastHeard > settings.workers().reportS() * 2_000) {
+        continue;
+      }
+      Room r = Room.of(view, m);
+      if (r != null) {
+        for (Map.Entry<TaskId, WorkerCodec.Seen> s : a.seen.entrySet()) {
+          View.Entry<Job> j = view.jobs.get(s.getKey().job());
+          if (j != null && s.getValue().state() != WorkerCodec.State.ENDED
+              && !m.tasks().containsKey(s.getKey())) {
+            r.take(j.value().spec()); // not in the record, but there until it is killed
+          }
+        }
+        out.add(r);
+      }
+    }
+    return out;
+  }
+
+  /** Spot machines first for those that may use them, then machines that have the image. */
+  private Room firstFit(List<Room> rooms, JobSpec s) {
+    Backoff b = backoffs.get(s.id());
+    if (b != null && clock.now() < b.until) {
+      return null;
+    }
+    Room best = null;
+    int bestScore = -1;
+    for (Room r : rooms) {
+      if (!r.fits(s)) {
+        continue;
+      }
+      Agent a = agents.get(r.machine().name());
+      if (b != null && b.machines.getOrDefault(a.name, 0L) > clock.now()) {
+        continue;
+      }
+      int score = (r.machine().spot() ? 2 : 0) + (a.images.contains(s.image()) ? 1 : 0);
+      if (score > bestScore) {
+        best = r;
+        bestScore = score;
+      }
+    }
+    return best;
+  }
+
+  /** Writes the tasks into the machine's record, and launches them once that is durable. */
+  private void put(Agent a, Map<TaskId, Integer> tasks) {
+    View.Entry<Machine> e = view.machines.get(a.name);
+    Machine m = e.value();
+    Map<TaskId, Integer> all = new LinkedHashMap<>(m.tasks());
+    all.putAll(tasks);
+    Txn txn =
+        new Txn()
+            .when(Keys.machine(m.name()), e.stamp())
+            .when(Keys.claim(m.part().toString()), a.claim)
+            .when(Keys.drain(m.name()), 0);
+    Set<String> chunks = new HashSet<>();
+    int conditions = 3;
+    for (TaskId t : tasks.keySet()) {
+      String chunk = Keys.progress(t.job(), t.index() / Constants.CHUNK_TASKS);
+      if (chunks.contains(chunk)) {
+        continue;
+      }
+      if (conditions + 2 > settings.state().txnOps() * 4) {
+        return;
+      }
+      conditions += 2;
+      chunks.add(chunk);
+      // The grant must still stand, and the job must not have been cancelled.
+      txn.when(chunk, view.stamp(chunk)).when(Keys.job(t.job()), view.stamp(Keys.job(t.job())));
+    }
+    txn.put(Keys.machine(m.name()), Records.machine(m.withTasks(all)));
+    placing.addAll(tasks.keySet());
+    write(
+        a,
+        Store.Urgency.LAUNCH,
+        txn,
+        Set.of(),
+        () -> placing.removeAll(tasks.keySet()),
+        () -> {
+          View.Entry<Machine> now = view.machines.get(a.name);
+          if (now != null && agents.get(a.name) == a && owns(a)) {
+            urgent(a, now);
+          }
+        });
+  }
+
+  /** Gives tasks back to the queue that were never written to a machine. */
+  private void ungrant(String part, List<TaskId> tasks) {
+    TaskId first = tasks.get(0);
+    int chunk = first.index() / Constants.CHUNK_TASKS;
+    String key = Keys.progress(first.job(), chunk);
+    Progress next = view.progress(first.job(), chunk).copy();
+    for (TaskId t : tasks) {
+      if (t.job().equals(first.job()) && t.index() / Constants.CHUNK_TASKS == chunk
+          && !placing(t)) {
+        next.back(t.index());
+      }
+    }
+    if (!busyChunks.add(key)) {
+      return;
+    }
+    store.settle(
+        Store.Urgency.GRANT,
+        new Txn()
+            .when(key, view.stamp(key))
+            .when(Keys.claim(part), membership.owned(part))
+            .put(key, Records.progress(next)),
+        Constants.STATE_TIMEOUT_MS,
+        ok -> {
+          busyChunks.remove(key);
+          nextPass = 0;
+        });
+  }
+
+  /** A placement under way must not be ungranted: its write does not change the progress key. */
+  private boolean placing(TaskId t) {
+    return view.places.containsKey(t) || placing.contains(t);
+  }
+
+  /** For operators: what is known of each machine here. */
+  public ObjectNode describe() {
+    ObjectNode n = Json.object();
+    for (Agent a : agents.values()) {
+      n.putObject(a.name)
+          .put("trusted", a.trusted())
+          .put("heard_ms_ago", clock.now() - a.lastHeard)
+          .put("tasks", a.seen.size());
+    }
+    return n;
+  }
+}
