--- /dev/null
+++ b/src/test/java/org/baygw/control/sim/Checker.java
@@ -0,0 +1,186 @@
+package org.baygw.control.sim;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import org.baygw.control.config.Settings;
+
+/** Watches the simulated world and notes every broken rule of the protocol, by its name there. */
+final class Checker {
+  /** A job as its user sent it. */
+  record Submitted(
+      String id,
+      String team,
+      boolean service,
+      int tasks,
+      double cpus,
+      String image,
+      String zone,
+      boolean spread,
+      boolean together,
+      boolean spot,
+      boolean saves,
+      boolean mistaken,
+      long runMs) {}
+
+  private final World world;
+  private final Map<String, Submitted> jobs = new HashMap<>();
+  private final Map<String, Set<FakeWorker>> on = new TreeMap<>();
+  private final Map<String, Long> startedAt = new HashMap<>();
+  private final Map<String, Long> progress = new HashMap<>();
+  private final Set<String> done = new HashSet<>();
+  private final Map<String, String> told = new HashMap<>();
+  private final Map<String, Long> cancelTold = new HashMap<>();
+  private final Set<String> cancelAsked = new HashSet<>();
+  final Map<String, Long> doneTold = new LinkedHashMap<>();
+  final Set<String> broken = new TreeSet<>();
+  int starts;
+
+  Checker(World world) {
+    this.world = world;
+  }
+
+  void submitted(Submitted s) {
+    jobs.put(s.id(), s);
+  }
+
+  Submitted job(String task) {
+    return jobs.get(task.substring(0, task.lastIndexOf('/')));
+  }
+
+  boolean completed(String task) {
+    return done.contains(task);
+  }
+
+  long left(String task) {
+    startedAt.put(task, world.now());
+    return Math.max(1, job(task).runMs() - progress.getOrDefault(task, 0L));
+  }
+
+  void saved(String task) {
+    progress.merge(task, world.now() - startedAt.getOrDefault(task, world.now()), Long::sum);
+  }
+
+  void taskDone(String task) {
+    done.add(task);
+  }
+
+  int tasksOn(String id) {
+    int n = 0;
+    for (Map.Entry<String, Set<FakeWorker>> e : on.entrySet()) {
+      if (e.getKey().startsWith(id + "/")) {
+        n += e.getValue().size();
+      }
+    }
+    return n;
+  }
+
+  String toldOf(String id) {
+    return told.get(id);
+  }
+
+  private void breaks(String rule, String what) {
+    broken.add(rule + ": " + what);
+  }
+
+  void started(FakeWorker w, String task) {
+    starts++;
+    Submitted s = job(task);
+    Set<FakeWorker> at = on.computeIfAbsent(task, k -> new HashSet<>());
+    if (!at.isEmpty()) {
+      breaks("ran_twice", task);
+    }
+    at.add(w);
+    Long cancelled = cancelTold.get(s.id());
+    if (cancelled != null && world.now() > cancelled + World.CANCEL_MS) {
+      breaks("ran_cancelled", task);
+    }
+    int here = 0;
+    int elsewhere = 0;
+    for (Map.Entry<String, Set<FakeWorker>> e : on.entrySet()) {
+      if (e.getKey().startsWith(s.id() + "/")) {
+        for (FakeWorker o : e.getValue()) {
+          if (o.zone.equals(w.zone)) {
+            here++;
+          } else {
+            elsewhere++;
+          }
+        }
+      }
+    }
+    if (w.spot && !s.spot() || s.zone() != null && !s.zone().equals(w.zone)
+        || s.spread() && here > (s.tasks() + 1) / 2 || s.together() && elsewhere > 0) {
+      breaks("wrong_place", task);
+    }
+    double used = 0;
+    for (Map.Entry<String, Set<FakeWorker>> e : on.entrySet()) {
+      Submitted o = job(e.getKey());
+      if (o.team().equals(s.team())) {
+        used += o.cpus() * e.getValue().size();
+      }
+    }
+    for (Settings.Team t : world.teams) {
+      if (t.name().equals(s.team()) && used > t.cpusMax() + 1e-6) {
+        breaks("quota", s.team());
+      }
+    }
+  }
+
+  void left(FakeWorker w, String task) {
+    Set<FakeWorker> at = on.get(task);
+    if (at != null) {
+      at.remove(w);
+    }
+  }
+
+  void abortAsked(String id) {
+    cancelAsked.add(id);
+  }
+
+  /** What a user was told. */
+  void answered(String id, int status, JsonNode body) {
+    String before = told.get(id);
+    if (status == 404 && before != null) {
+      breaks("forgotten", id);
+    }
+    if ((status == 400 || status == 422) && before != null) {
+      breaks("forgotten", id);
+    }
+    if (status != 200 && status != 201) {
+      return;
+    }
+    if (!jobs.containsKey(id)) {
+      breaks("invented", id);
+      return;
+    }
+    String now = body.path("status").asText();
+    boolean wasFinal = "done".equals(before) || "cancelled".equals(before);
+    if (wasFinal && !now.equals(before)
+        || now.equals("cancelled") && !cancelAsked.contains(id)) {
+      breaks("went_back", id);
+    }
+    if (now.equals("done")) {
+      doneTold.putIfAbsent(id, world.now());
+      for (int i = 0; i < jobs.get(id).tasks(); i++) {
+        if (!done.contains(id + "/" + i)) {
+          breaks("not_done", id);
+        }
+      }
+    }
+    if (now.equals("cancelled") && cancelTold.putIfAbsent(id, world.now()) == null) {
+      world.after(
+          World.CANCEL_MS,
+          () -> {
+            if (tasksOn(id) > 0) {
+              breaks("ran_cancelled", id);
+            }
+          });
+    }
+    told.put(id, now);
+  }
+}
--- /dev/null
+++ b/src/test/java/org/baygw/control/sim/FakeCloud.java
@@ -0,0 +1,148 @@
+package org.baygw.control.sim;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.baygw.control.core.Json;
+
+/** The cloud, by its protocol: one machine type of 16 CPUs and 64 GB. */
+final class FakeCloud {
+  static final String TYPE = "c16";
+
+  private static final class Rented {
+    String zone;
+    boolean spot;
+    long since;
+    boolean up;
+    boolean never;
+  }
+
+  private final World world;
+  private final TreeMap<String, Rented> machines = new TreeMap<>();
+  private final TreeMap<String, JsonNode> listed = new TreeMap<>();
+  private final Map<String, JsonNode> bookings = new HashMap<>();
+  private long outageUntil;
+  private int made;
+  private int neverBoot;
+  int capacity = 40;
+  long bootMs = 8_000;
+  int rentals;
+
+  FakeCloud(World world) {
+    this.world = world;
+  }
+
+  void outage(long ms) {
+    outageUntil = world.now() + ms;
+  }
+
+  void nextNeverBoots(int count) {
+    neverBoot = count;
+  }
+
+  int size() {
+    return machines.size();
+  }
+
+  String add(String zone, boolean spot, long bootIn) {
+    String name = String.format("n-%06d", ++made);
+    Rented r = new Rented();
+    r.zone = zone;
+    r.spot = spot;
+    r.since = world.now();
+    r.never = neverBoot > 0 && neverBoot-- > 0;
+    machines.put(name, r);
+    world.after(1_500 + world.random.nextInt(1_500), () -> publish(name));
+    if (!r.never) {
+      world.after(
+          bootIn,
+          () -> {
+            if (machines.containsKey(name)) {
+              r.up = true;
+              FakeWorker w = new FakeWorker(world, name, zone, spot);
+              world.workers.put(name, w);
+              w.start();
+            }
+          });
+    }
+    return name;
+  }
+
+  private void publish(String name) {
+    Rented r = machines.get(name);
+    if (r == null) {
+      listed.remove(name);
+      return;
+    }
+    ObjectNode o = Json.object().put("id", name).put("address", name + ":9000").put("build", TYPE);
+    o.put("yard", r.zone).put("loaners", r.spot).put("status", r.up ? "running" : "booting");
+    listed.put(name, o.put("heldS", (world.now() - r.since) / 1000.0));
+    world.after(1_000, () -> publish(name));
+  }
+
+  /** The cloud takes a machine away, or it dies. */
+  void take(String name) {
+    machines.remove(name);
+    FakeWorker w = world.workers.remove(name);
+    if (w != null) {
+      w.gone();
+    }
+  }
+
+  void handle(String method, String path, JsonNode n, FakeState.Respond respond) {
+    if (world.now() < outageUntil) {
+      respond.done(503, Json.bytes(Json.object().put("error", "trouble")));
+    } else if (path.equals("/machine_types")) {
+      respond.done(200, types());
+    } else if (path.equals("/machines/return")) {
+      for (JsonNode h : n.path("hosts")) {
+        take(h.asText());
+      }
+      respond.done(200, Json.bytes(Json.object()));
+    } else if (method.equals("POST")) {
+      rent(n, respond);
+    } else {
+      ObjectNode out = Json.object().put("more", false);
+      ArrayNode a = out.putArray("hosts");
+      listed.values().forEach(a::add);
+      respond.done(200, Json.bytes(out));
+    }
+  }
+
+  private void rent(JsonNode n, FakeState.Respond respond) {
+    String booking = n.path("booking").asText();
+    if (!bookings.containsKey(booking)) {
+      List<String> names = new ArrayList<>();
+      int count = Math.min(n.path("count").asInt(), capacity - machines.size());
+      if (count <= 0) {
+        respond.done(503, Json.bytes(Json.object().put("error", "no capacity")));
+        return;
+      }
+      for (int i = 0; i < count; i++) {
+        names.add(add(n.path("yard").asText(), n.path("loaners").asBoolean(), bootMs));
+        rentals++;
+      }
+      ObjectNode out = Json.object();
+      ArrayNode a = out.putArray("hosts");
+      names.forEach(a::add);
+      bookings.put(booking, out);
+    }
+    respond.done(200, Json.bytes(bookings.get(booking)));
+  }
+
+  private byte[] types() {
+    ObjectNode out = Json.object();
+    ObjectNode t = out.putArray("builds").addObject();
+    t.put("name", TYPE).put("cores", 16).put("accelerators", 0).put("memoryGb", 64);
+    t.put("localGb", 80).put("pullGbPerS", 1.0).put("price", 0.6).put("spotPrice", 0.2);
+    t.put("readyS", bootMs / 1000.0);
+    ArrayNode z = t.putArray("yards");
+    world.zones.forEach(z::add);
+    return Json.bytes(out);
+  }
+}
--- /dev/null
+++ b/src/test/java/org/baygw/control/sim/FakeState.java
@@ -0,0 +1,243 @@
+package org.baygw.control.sim;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.baygw.control.core.Json;
+
+/** The state service, by its protocol. */
+final class FakeState {
+  /** Sends an answer. */
+  interface Respond {
+    void done(int status, byte[] body);
+  }
+
+  private record Item(JsonNode value, long stamp, long hold) {}
+
+  private record Change(String key, JsonNode value, long stamp) {}
+
+  private record Watch(String from, String under, long after, long until, Respond respond) {}
+
+  private final World world;
+  private final TreeMap<String, Item> items = new TreeMap<>();
+  private final List<Change> history = new ArrayList<>();
+  private final Map<Long, long[]> holds = new HashMap<>();
+  private final List<Watch> watches = new ArrayList<>();
+  private long revision;
+  private long nextHold;
+  private long outageUntil;
+  private final Map<String, Long> outageFor = new HashMap<>();
+  private int keepHistory = 10_000;
+
+  FakeState(World world) {
+    this.world = world;
+  }
+
+  void outage(String only, long ms) {
+    if (only == null) {
+      outageUntil = world.now() + ms;
+      world.after(
+          ms,
+          () -> {
+            holds.values().forEach(h -> h[1] = world.now() + h[0]); // full time again
+            wake();
+          });
+    } else {
+      outageFor.put(only, world.now() + ms);
+      world.after(ms, this::wake);
+    }
+  }
+
+  void keepHistory(int changes) {
+    keepHistory = changes;
+  }
+
+  JsonNode value(String key) {
+    Item i = items.get(key);
+    return i == null ? null : i.value();
+  }
+
+  private boolean down(String from) {
+    return world.now() < outageUntil || world.now() < outageFor.getOrDefault(from, 0L);
+  }
+
+  private void expire() {
+    if (world.now() < outageUntil) {
+      return;
+    }
+    List<Long> over = new ArrayList<>();
+    holds.forEach(
+        (id, h) -> {
+          if (h[1] <= world.now()) {
+            over.add(id);
+          }
+        });
+    over.forEach(this::endHold);
+  }
+
+  private void endHold(long id) {
+    holds.remove(id);
+    List<String> keys = new ArrayList<>();
+    items.forEach(
+        (k, i) -> {
+          if (i.hold() == id) {
+            keys.add(k);
+          }
+        });
+    if (!keys.isEmpty()) {
+      revision++;
+      keys.forEach(this::remove);
+      wake();
+    }
+  }
+
+  private void remove(String key) {
+    items.remove(key);
+    history.add(new Change(key, null, revision));
+  }
+
+  void handle(String from, String method, String path, JsonNode n, Respond respond) {
+    expire();
+    if (down(from)) {
+      respond.done(503, Json.bytes(Json.object().put("error", "outage")));
+      return;
+    }
+    String[] split = path.split("\\?", 2);
+    Map<String, String> q = new HashMap<>();
+    if (split.length > 1) {
+      for (String p : split[1].split("&")) {
+        int eq = p.indexOf('=');
+        q.put(p.substring(0, eq), p.substring(eq + 1));
+      }
+    }
+    String at = split[0];
+    if (at.equals("/kv")) {
+      list(q, respond);
+    } else if (at.equals("/txn")) {
+      txn(n, respond);
+    } else if (at.equals("/watch")) {
+      Watch w =
+          new Watch(
+              from,
+              q.get("under"),
+              Long.parseLong(q.get("after")),
+              world.now() + Long.parseLong(q.getOrDefault("waitMs", "0")),
+              respond);
+      if (!answer(w, false)) {
+        watches.add(w);
+        world.after(w.until() - world.now(), this::wake);
+      }
+    } else if (at.equals("/holds")) {
+      long id = ++nextHold;
+      long ttl = n.path("ttlMs").asLong();
+      holds.put(id, new long[] {ttl, world.now() + ttl});
+      world.after(ttl + 50, this::expire);
+      respond.done(200, Json.bytes(Json.object().put("hold", id)));
+    } else if (at.startsWith("/holds/")) {
+      long id = Long.parseLong(at.split("/")[2]);
+      if (!holds.containsKey(id)) {
+        respond.done(404, Json.bytes(Json.object()));
+      } else if (method.equals("DELETE")) {
+        endHold(id);
+        respond.done(200, Json.bytes(Json.object()));
+      } else {
+        long[] h = holds.get(id);
+        h[1] = world.now() + h[0];
+        world.after(h[0] + 50, this::expire);
+        respond.done(200, Json.bytes(Json.object().put("hold", id)));
+      }
+    } else {
+      respond.done(400, Json.bytes(Json.object()));
+    }
+  }
+
+  private void list(Map<String, String> q, Respond respond) {
+    ObjectNode out = Json.object().put("ledgerRev", revision);
+    ArrayNode entries = out.putArray("entries");
+    int page = Integer.parseInt(q.getOrDefault("page", "1000"));
+    boolean more = false;
+    for (Map.Entry<String, Item> e : items.tailMap(q.getOrDefault("after", ""), false).entrySet()) {
+      if (!e.getKey().startsWith(q.get("under"))) {
+        continue;
+      }
+      if (entries.size() == page) {
+        more = true;
+        break;
+      }
+      ObjectNode o = entries.addObject().put("key", e.getKey()).put("stamp", e.getValue().stamp());
+      o.set("value", e.getValue().value());
+    }
+    respond.done(200, Json.bytes(out.put("more", more)));
+  }
+
+  private void txn(JsonNode n, Respond respond) {
+    ObjectNode fail = Json.object();
+    ArrayNode failed = fail.putArray("failed");
+    for (JsonNode t : n.path("then")) {
+      long hold = t.path("hold").asLong();
+      if (hold != 0 && !holds.containsKey(hold)) {
+        respond.done(400, Json.bytes(Json.object().put("error", "no such lease")));
+        return;
+      }
+    }
+    for (JsonNode w : n.path("when")) {
+      Item i = items.get(w.path("key").asText());
+      if ((i == null ? 0 : i.stamp()) != w.path("stamp").asLong()) {
+        failed.add(w.path("key"));
+      }
+    }
+    if (!failed.isEmpty()) {
+      respond.done(409, Json.bytes(fail.put("ledgerRev", revision)));
+      return;
+    }
+    revision++;
+    for (JsonNode t : n.path("then")) {
+      if (t.has("write")) {
+        String key = t.path("write").asText();
+        items.put(key, new Item(t.path("value"), revision, t.path("hold").asLong()));
+        history.add(new Change(key, t.path("value"), revision));
+      } else if (items.containsKey(t.path("delete").asText())) {
+        remove(t.path("delete").asText());
+      }
+    }
+    wake();
+    respond.done(200, Json.bytes(Json.object().put("ledgerRev", revision)));
+  }
+
+  private void wake() {
+    watches.removeIf(w -> answer(w, true));
+  }
+
+  private boolean answer(Watch w, boolean open) {
+    if (open && down(w.from())) {
+      return false; // open watches stay open in an outage
+    }
+    int from = Math.max(0, history.size() - keepHistory);
+    if (from > 0 && w.after() < history.get(from).stamp() - 1) {
+      w.respond().done(410, Json.bytes(Json.object()));
+      return true;
+    }
+    ObjectNode out = Json.object().put("ledgerRev", revision);
+    ArrayNode events = out.putArray("events");
+    for (Change c : history) {
+      if (c.stamp() > w.after() && c.key().startsWith(w.under())) {
+        ObjectNode o = events.addObject().put("stamp", c.stamp());
+        if (c.value() == null) {
+          o.put("delete", c.key());
+        } else {
+          o.put("write", c.key()).set("value", c.value());
+        }
+      }
+    }
+    if (events.isEmpty() && world.now() < w.until()) {
+      return false;
+    }
+    w.respond().done(200, Json.bytes(out));
+    return true;
+  }
+}
--- /dev/null
+++ b/src/test/java/org/baygw/control/sim/Scenario.java
@@ -0,0 +1,315 @@
+package org.baygw.control.sim;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.baygw.control.config.Settings;
+import org.baygw.control.core.Json;
+import org.baygw.control.core.Outbox;
+
+/** Plays one scenario file; docs/TESTING.md describes its lines. */
+final class Scenario {
+  private final List<String> failures = new ArrayList<>();
+  private final List<String[]> setUp = new ArrayList<>();
+  private final List<String[]> expectations = new ArrayList<>();
+  private final List<Settings.Team> teams = new ArrayList<>();
+  private List<String> zones = List.of("a");
+  private int controllers = 3;
+  private long seed = 1;
+  private long end = 60_000;
+  private World world;
+  private boolean expectsBroken;
+
+  /** Plays the text and returns what was not as expected. */
+  static List<String> play(String text) {
+    Scenario s = new Scenario();
+    for (String line : text.split("\n")) {
+      String l = line.strip();
+      if (!l.isEmpty() && !l.startsWith("#")) {
+        s.read(l.split("\\s+"));
+      }
+    }
+    s.run();
+    return s.failures;
+  }
+
+  private void read(String[] w) {
+    switch (w[0]) {
+      case "seed" -> seed = Long.parseLong(w[1]);
+      case "controllers" -> controllers = Integer.parseInt(w[1]);
+      case "zones" -> zones = List.of(w).subList(1, w.length);
+      case "team" -> {
+        Map<String, String> o = options(w, 2);
+        teams.add(
+            new Settings.Team(
+                w[1],
+                Double.parseDouble(o.getOrDefault("cpus", "0")),
+                Double.parseDouble(o.get("max")),
+                0,
+                0));
+      }
+      case "run" -> end = seconds(w[1]);
+      case "expect" -> expectations.add(w);
+      case "machines", "at", "set" -> setUp.add(w);
+      default -> throw new IllegalArgumentException("no such line: " + String.join(" ", w));
+    }
+  }
+
+  private static Map<String, String> options(String[] w, int from) {
+    Map<String, String> out = new HashMap<>();
+    for (int i = from; i < w.length; i++) {
+      int eq = w[i].indexOf('=');
+      out.put(eq < 0 ? w[i] : w[i].substring(0, eq), eq < 0 ? "true" : w[i].substring(eq + 1));
+    }
+    return out;
+  }
+
+  private static long seconds(String s) {
+    return Math.round(Double.parseDouble(s) * 1000);
+  }
+
+  private static String word(String[] w, String after, String otherwise) {
+    for (int i = 0; i + 1 < w.length; i++) {
+      if (w[i].equals(after)) {
+        return w[i + 1];
+      }
+    }
+    return otherwise;
+  }
+
+  private void run() {
+    if (teams.isEmpty()) {
+      teams.add(new Settings.Team("red", 64, 256, 0, 0));
+    }
+    world = new World(seed, controllers, zones, teams);
+    for (String[] w : setUp) {
+      switch (w[0]) {
+        case "machines" -> {
+          Map<String, String> o = options(w, 1);
+          for (int i = 0; i < Integer.parseInt(o.getOrDefault("count", "1")); i++) {
+            world.cloud.add(o.getOrDefault("zone", "a"), o.containsKey("spot"), 0);
+          }
+        }
+        case "set" -> {
+          Map<String, String> o = options(w, 1);
+          o.forEach(
+              (k, v) -> {
+                switch (k) {
+                  case "capacity" -> world.cloud.capacity = Integer.parseInt(v);
+                  case "boot" -> world.cloud.bootMs = seconds(v);
+                  case "never-boots" -> world.cloud.nextNeverBoots(Integer.parseInt(v));
+                  case "history" -> world.state.keepHistory(Integer.parseInt(v));
+                  default -> throw new IllegalArgumentException(k);
+                }
+              });
+        }
+        default -> world.after(seconds(w[1]), () -> act(w));
+      }
+    }
+    world.nodes.values().forEach(World.Node::start);
+    world.runUntil(end);
+    for (String[] w : expectations) {
+      expect(w);
+    }
+    if (!expectsBroken && !world.checker.broken.isEmpty()) {
+      failures.add("broken: " + world.checker.broken);
+    }
+  }
+
+  private void act(String[] w) {
+    long forMs = seconds(word(w, "for", "0"));
+    switch (w[2]) {
+      case "submit" -> submit(w);
+      case "abort" -> abort(w[3]);
+      case "crash" -> {
+        for (World.Node n : world.nodes.values()) {
+          if (w[3].equals("all") || w[3].equals(n.label)) {
+            n.crash();
+            world.after(forMs, n::start);
+          }
+        }
+      }
+      case "crash-desk" -> {
+        JsonNode claim = world.state.value("b/claim/desk");
+        World.Node n = world.nodes.get(claim.path("owner").asText());
+        n.crash();
+        world.after(forMs, n::start);
+      }
+      case "cut" -> {
+        World.Cut kind = World.Cut.valueOf(w[5].toUpperCase().replace('-', '_'));
+        for (String a : names(w[3])) {
+          for (String b : names(w[4])) {
+            world.cut(a, b, kind, forMs);
+          }
+        }
+      }
+      case "state-outage" -> world.state.outage(word(w, "only", null), forMs);
+      case "cloud-outage" -> world.cloud.outage(forMs);
+      case "capacity" -> world.cloud.capacity = Integer.parseInt(w[3]);
+      case "hang" -> world.workers.get(w[3]).hang(forMs);
+      case "take" -> world.cloud.take(w[3]);
+      case "sick" -> world.workers.get(w[3]).sick = true;
+      case "notice" -> {
+        world.workers.get(w[3]).noticeUntil = world.now() + forMs;
+        world.after(forMs, () -> world.cloud.take(w[3]));
+      }
+      case "violate" -> violate(w);
+      default -> throw new IllegalArgumentException("no such act: " + w[2]);
+    }
+  }
+
+  private List<String> names(String pattern) {
+    if (pattern.equals("controllers")) {
+      return world.labels;
+    }
+    if (pattern.equals("workers")) {
+      return List.copyOf(world.workers.keySet());
+    }
+    return List.of(pattern);
+  }
+
+  /** Breaks a rule in the world itself, to show that the checker sees it. */
+  private void violate(String[] w) {
+    if (w[3].equals("launch")) {
+      world.workers.get(w[4]).force(w[5]);
+    } else {
+      world.checker.answered(
+          w[4],
+          Integer.parseInt(w[5]),
+          Json.object().put("status", w.length > 6 ? w[6] : ""));
+    }
+  }
+
+  private void submit(String[] w) {
+    Map<String, String> o = options(w, 4);
+    Checker.Submitted s =
+        new Checker.Submitted(
+            w[3],
+            o.getOrDefault("team", teams.get(0).name()),
+            o.containsKey("service"),
+            Integer.parseInt(o.getOrDefault("tasks", "1")),
+            Double.parseDouble(o.getOrDefault("cpus", "4")),
+            o.getOrDefault("image", "img"),
+            o.get("zone"),
+            o.containsKey("spread"),
+            o.containsKey("together"),
+            o.containsKey("spot"),
+            o.containsKey("saves"),
+            o.containsKey("mistaken"),
+            seconds(o.getOrDefault("run", "5")));
+    world.checker.submitted(s);
+    ObjectNode n = Json.object().put("id", s.id()).put("lane", "any").put("crew", s.team());
+    n.put("shape", s.service() ? "standing" : "array");
+    n.put("rank", o.getOrDefault("rank", s.service() ? "prod" : "normal"));
+    n.put("chores", s.tasks()).put("cores", s.cpus()).put("accelerators", 0.0);
+    n.put("memoryGb", Double.parseDouble(o.getOrDefault("memory", "4")));
+    n.put("bundle", s.image()).put("sizeGb", 1.0);
+    n.put("yard", s.zone()).put("together", s.together()).put("spread", s.spread());
+    n.put("loaners", s.spot()).put("guessS", s.service() ? 0 : s.runMs() / 1000.0);
+    n.put("stashEveryS", s.saves() ? 5.0 : 0.0).put("stashS", s.saves() ? 1.0 : 0.0);
+    ask("POST", "/v1/jobs", Json.bytes(n), s.id(), 0, this::polls);
+    if (o.containsKey("twice")) {
+      ask("POST", "/v1/jobs", Json.bytes(n), s.id(), 0, id -> {});
+    }
+  }
+
+  private interface Then {
+    void then(String id);
+  }
+
+  /** Asks a live controller until it gets a final status. */
+  private void ask(String method, String path, byte[] body, String id, int tries, Then then) {
+    if (tries > 300) {
+      failures.add(method + " " + path + " was never answered");
+      return;
+    }
+    Runnable again =
+        () -> world.after(1_000, () -> ask(method, path, body, id, tries + 1, then));
+    List<String> live = new ArrayList<>(world.liveLabels());
+    if (live.isEmpty()) {
+      again.run();
+      return;
+    }
+    live.sort(null);
+    String label = live.get(world.random.nextInt(live.size()));
+    world.call(
+        "user",
+        label + ":8080",
+        method,
+        path,
+        body,
+        5_000,
+        (status, answer) -> {
+          if (status == 200 || status == 201 || status == 400 || status == 404 || status == 422) {
+            world.checker.answered(id, status, Json.parse(answer));
+            then.then(id);
+          } else {
+            if (status != Outbox.NO_ANSWER && status != Outbox.NOT_SENT && status != 503
+                && status != 429) {
+              failures.add(method + " " + path + " was answered " + status);
+            }
+            again.run();
+          }
+        });
+  }
+
+  private void polls(String id) {
+    world.after(
+        1_500 + world.random.nextInt(1_000),
+        () -> ask("GET", "/v1/jobs/" + id, null, id, 0, this::polls));
+  }
+
+  private void abort(String id) {
+    world.checker.abortAsked(id);
+    ask("POST", "/v1/jobs/" + id + "/abort", Json.bytes(Json.object()), id, 0, i -> {});
+  }
+
+  private void expect(String[] w) {
+    switch (w[1]) {
+      case "done" -> {
+        Long at = world.checker.doneTold.get(w[2]);
+        long by = seconds(word(w, "by", String.valueOf(end / 1000.0)));
+        if (at == null || at > by) {
+          failures.add(w[2] + " was told done at " + at + ", expected by " + by);
+        }
+      }
+      case "told" -> {
+        String told = world.checker.toldOf(w[2]);
+        if (!w[3].equals(told)) {
+          failures.add(w[2] + " was last told " + told);
+        }
+      }
+      case "on" -> {
+        int on = world.checker.tasksOn(w[2]);
+        if (on != Integer.parseInt(w[3])) {
+          failures.add(w[2] + " has " + on + " tasks on machines");
+        }
+      }
+      case "starts-at-most" -> {
+        if (world.checker.starts > Integer.parseInt(w[2])) {
+          failures.add(world.checker.starts + " starts");
+        }
+      }
+      case "rentals-at-most" -> {
+        if (world.cloud.rentals > Integer.parseInt(w[2])) {
+          failures.add(world.cloud.rentals + " rentals");
+        }
+      }
+      case "machines-at-most" -> {
+        if (world.cloud.size() > Integer.parseInt(w[2])) {
+          failures.add(world.cloud.size() + " machines");
+        }
+      }
+      case "broken" -> {
+        expectsBroken = true;
+        if (world.checker.broken.stream().noneMatch(b -> b.startsWith(w[2] + ":"))) {
+          failures.add("the checker did not see " + w[2] + " but " + world.checker.broken);
+        }
+      }
+      default -> throw new IllegalArgumentException("no such expectation: " + w[1]);
+    }
+  }
+}
--- /dev/null
+++ b/src/test/java/org/baygw/control/sim/ScenarioTest.java
@@ -0,0 +1,35 @@
+package org.baygw.control.sim;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.io.IOException;
+import java.net.URISyntaxException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.stream.Stream;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+
+/** Plays every file under scenarios/. */
+final class ScenarioTest {
+  static Stream<String> scenarios() throws IOException, URISyntaxException {
+    Path dir = Path.of(ScenarioTest.class.getResource("/scenarios").toURI());
+    try (Stream<Path> files = Files.walk(dir)) {
+      List<String> names =
+          files
+              .filter(Files::isRegularFile)
+              .map(f -> dir.relativize(f).toString())
+              .sorted()
+              .toList();
+      return names.stream();
+    }
+  }
+
+  @ParameterizedTest
+  @MethodSource("scenarios")
+  void plays(String name) throws IOException, URISyntaxException {
+    Path dir = Path.of(ScenarioTest.class.getResource("/scenarios").toURI());
+    assertEquals(List.of(), Scenario.play(Files.readString(dir.resolve(name))));
+  }
+}
--- /dev/null
+++ b/src/test/java/org/baygw/control/sim/World.java
@@ -0,0 +1,276 @@
+package org.baygw.control.sim;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Random;
+import java.util.Set;
+import java.util.TreeMap;
+import org.baygw.control.Controller;
+import org.baygw.control.config.Settings;
+import org.baygw.control.core.Json;
+import org.baygw.control.core.Outbox;
+
+/**
+ * A simulated deployment: clock, network, state service, cloud, workers and users around real cores.
+ * Everything random comes from one seed, so a scenario always plays the same.
+ */
+final class World {
+  static final String STATE = "10.9.0.1:2379";
+  static final String CLOUD = "10.9.0.2:8443";
+  static final int LEASE_MS = 10_000;
+  static final int REPORT_MS = 2_000;
+  static final int CANCEL_MS = 35_000;
+
+  private record Event(long at, long order, Runnable action) {}
+
+  /** What happens to messages of one direction between two hosts. */
+  enum Cut {
+    /** Lost. */
+    DROP,
+    /** Kept, and delivered when the cut ends. */
+    HOLD,
+    /** Requests arrive, their answers do not. */
+    LOSE_ANSWERS
+  }
+
+  private record CutState(Cut kind, long until) {}
+
+  final Random random;
+  final List<String> zones;
+  final Checker checker = new Checker(this);
+  final FakeState state = new FakeState(this);
+  final FakeCloud cloud = new FakeCloud(this);
+  final Map<String, FakeWorker> workers = new TreeMap<>();
+  final List<String> labels = new ArrayList<>();
+  final Map<String, Node> nodes = new TreeMap<>();
+  final List<Settings.Team> teams;
+  private final Map<String, CutState> cuts = new HashMap<>();
+  private final PriorityQueue<Event> events =
+      new PriorityQueue<>(
+          (a, b) -> a.at() != b.at() ? Long.compare(a.at(), b.at()) : Long.compare(a.order(), b.order()));
+  private long order;
+  private long now;
+
+  /** One controller: its core, replaced at every restart. */
+  final class Node {
+    final String label;
+    final String zone;
+    Controller core;
+    int life;
+    private long requests;
+    private final Map<Long, FakeState.Respond> pending = new HashMap<>();
+
+    Node(String label, String zone) {
+      this.label = label;
+      this.zone = zone;
+    }
+
+    void start() {
+      life++;
+      pending.clear();
+      core = new Controller(settings(this));
+      int mine = life;
+      ticks(mine);
+    }
+
+    private void ticks(int mine) {
+      after(
+          25,
+          () -> {
+            if (core != null && life == mine) {
+              carryOut(core.tick(now, now));
+              ticks(mine);
+            }
+          });
+    }
+
+    void crash() {
+      core = null;
+      life++;
+    }
+
+    void receive(String method, String path, byte[] body, FakeState.Respond respond) {
+      long id = ++requests;
+      pending.put(id, respond);
+      carryOut(core.request(now, now, id, method, path, body));
+    }
+
+    private void carryOut(List<Outbox.Effect> effects) {
+      int mine = life;
+      for (Outbox.Effect e : effects) {
+        if (e instanceof Outbox.Answer a) {
+          FakeState.Respond r = pending.remove(a.request());
+          if (r != null) {
+            r.done(a.status(), a.body());
+          }
+        } else if (e instanceof Outbox.Call c) {
+          String path = c.path();
+          call(
+              label,
+              c.addr(),
+              c.method(),
+              path,
+              c.body(),
+              c.timeoutMs(),
+              (status, body) -> {
+                if (core != null && life == mine) {
+                  carryOut(core.outcome(now, now, c.then(), status, body));
+                }
+              });
+        }
+      }
+    }
+  }
+
+  World(long seed, int controllers, List<String> zones, List<Settings.Team> teams) {
+    this.random = new Random(seed);
+    this.zones = zones;
+    this.teams = teams;
+    for (int i = 0; i < controllers; i++) {
+      String label = "yurt-" + i;
+      labels.add(label);
+      nodes.put(label, new Node(label, zones.get(i % zones.size())));
+    }
+  }
+
+  private Settings settings(Node n) {
+    List<Settings.Peer> peers = new ArrayList<>();
+    for (Node o : nodes.values()) {
+      if (o != n) {
+        peers.add(new Settings.Peer(o.label, o.zone, o.label + ":8081"));
+      }
+    }
+    return new Settings(
+        n.label,
+        n.zone,
+        new Settings.Endpoint(n.label, 8080),
+        new Settings.Endpoint(n.label, 8081),
+        peers,
+        CLOUD,
+        STATE,
+        zones,
+        teams,
+        new Settings.WorkerTimes(REPORT_MS / 1000.0, LEASE_MS / 1000.0, CANCEL_MS / 1000.0),
+        new Settings.StateLimits(400, 200, 8, 16),
+        new Settings.CloudLimits(10, 3),
+        1000);
+  }
+
+  long now() {
+    return now;
+  }
+
+  void after(long ms, Runnable action) {
+    events.add(new Event(now + Math.max(0, ms), order++, action));
+  }
+
+  void runUntil(long ms) {
+    while (!events.isEmpty() && events.peek().at() <= ms) {
+      Event e = events.poll();
+      now = e.at();
+      e.action().run();
+    }
+    now = ms;
+  }
+
+  void cut(String a, String b, Cut kind, long forMs) {
+    cuts.put(a + ">" + b, new CutState(kind, now + forMs));
+  }
+
+  private CutState cutOf(String a, String b) {
+    CutState c = cuts.get(a + ">" + b);
+    return c == null || c.until() <= now ? null : c;
+  }
+
+  private static String host(String addr) {
+    if (addr.equals(STATE)) {
+      return "state";
+    }
+    if (addr.equals(CLOUD)) {
+      return "cloud";
+    }
+    return addr.substring(0, addr.lastIndexOf(':'));
+  }
+
+  private long latency() {
+    return 1 + random.nextInt(4);
+  }
+
+  /** One request over the network, with all that may become of it. */
+  void call(
+      String from,
+      String addr,
+      String method,
+      String path,
+      byte[] body,
+      long timeoutMs,
+      Outbox.Callback then) {
+    String to = host(addr);
+    boolean[] over = {false};
+    Outbox.Callback once =
+        (status, answer) -> {
+          if (!over[0]) {
+            over[0] = true;
+            then.done(status, answer);
+          }
+        };
+    after(timeoutMs, () -> once.done(Outbox.NO_ANSWER, new byte[0]));
+    CutState there = cutOf(from, to);
+    if (there != null && there.kind() == Cut.DROP) {
+      return;
+    }
+    long delay =
+        there != null && there.kind() == Cut.HOLD ? there.until() - now + latency() : latency();
+    after(
+        delay,
+        () ->
+            arrive(
+                from,
+                to,
+                method,
+                path,
+                body,
+                (status, answer) -> {
+                  CutState back = cutOf(to, from);
+                  boolean lost =
+                      back != null || there != null && there.kind() == Cut.LOSE_ANSWERS;
+                  if (!lost) {
+                    after(latency(), () -> once.done(status, answer));
+                  }
+                }));
+  }
+
+  private void arrive(
+      String from, String to, String method, String path, byte[] body, FakeState.Respond respond) {
+    JsonNode n = body == null || body.length == 0 ? Json.object() : Json.parse(body);
+    if (to.equals("state")) {
+      state.handle(from, method, path, n, respond);
+    } else if (to.equals("cloud")) {
+      cloud.handle(method, path, n, respond);
+    } else if (nodes.containsKey(to)) {
+      Node node = nodes.get(to);
+      if (node.core == null) {
+        respond.done(Outbox.NOT_SENT, new byte[0]);
+      } else {
+        node.receive(method, path, body == null ? new byte[0] : body, respond);
+      }
+    } else if (workers.containsKey(to)) {
+      workers.get(to).handle(method, path, n, respond);
+    }
+  }
+
+  Set<String> liveLabels() {
+    Set<String> out = new HashSet<>();
+    nodes.values().forEach(n -> {
+      if (n.core != null) {
+        out.add(n.label);
+      }
+    });
+    return out;
+  }
+}
