--- /dev/null
+++ b/src/main/java/org/baygw/control/placement/BranchAndBound.java
@@ -0,0 +1,376 @@
+package org.baygw.control.placement;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import org.baygw.control.Constants;
+
+/**
+ * The design's search: place the tasks so that alpha times active machines plus mu times moves is
+ * least, with at most K moves. After Bartók and Mann (2015), section V; see docs/DESIGN.md. Runs in
+ * steps, so that a controller answers others in between, and always holds the best placement so far.
+ */
+public final class BranchAndBound {
+  /** A machine: room left by tasks that stay, and whether there are any. */
+  public record Host(double[] free, boolean occupied) {}
+
+  /**
+   * A task to place.
+   *
+   * @param current index of its machine, or -1 if it is on none
+   * @param group tasks of the same group may not share a machine; null: no such rule
+   * @param allowed which machines the rules allow; its current one among them
+   */
+  public record Item(double[] load, int current, String group, boolean[] allowed) {}
+
+  private static final int UNPLACED = -1;
+  private static final int OPEN = -2;
+
+  private final List<Host> hosts;
+  private final List<Item> items;
+  private final double alpha;
+  private final double mu;
+  private final int maxMoves;
+  private final double[] scale;
+
+  // The current partial solution, changed step by step.
+  private final double[][] free;
+  private final int[] at;
+  private final int[] held;
+  private final int[] waiting;
+  private int active;
+  private int moves;
+  private int skipped;
+
+  // The path from the root: the item of each level, its children and the next one to try.
+  private final int[] pathItem;
+  private final int[][] pathChildren;
+  private final int[] pathNext;
+  private int depth;
+  private boolean entered;
+  private boolean over;
+  private long nodes;
+
+  private final int[] best;
+  private double bestCost;
+  private boolean improved;
+
+  public BranchAndBound(
+      List<Host> hosts, List<Item> items, double alpha, double mu, int maxMoves) {
+    if (!(alpha > 0) || !(mu > 0)) {
+      throw new IllegalArgumentException("alpha and mu must be above zero");
+    }
+    this.hosts = hosts;
+    this.items = items;
+    this.alpha = alpha;
+    this.mu = mu;
+    this.maxMoves = maxMoves;
+    int n = items.size();
+    int m = hosts.size();
+    int d = m == 0 ? 0 : hosts.get(0).free().length;
+    free = new double[m][];
+    held = new int[m];
+    waiting = new int[m];
+    scale = new double[d];
+    for (int p = 0; p < m; p++) {
+      free[p] = hosts.get(p).free().clone();
+      active += hosts.get(p).occupied() ? 1 : 0;
+      for (int k = 0; k < d; k++) {
+        scale[k] = Math.max(scale[k], free[p][k]);
+      }
+    }
+    at = new int[n];
+    Arrays.fill(at, OPEN);
+    best = new int[n];
+    for (int v = 0; v < n; v++) {
+      int c = items.get(v).current();
+      best[v] = c;
+      if (c >= 0) {
+        waiting[c]++;
+      }
+    }
+    // Leaving everything where it is always is a solution.
+    bestCost = costOf(best);
+    pathItem = new int[n + 1];
+    pathChildren = new int[n + 1][];
+    pathNext = new int[n + 1];
+  }
+
+  /** Cost of a full placement; a task left unplaced costs as much as two machines. */
+  private double costOf(int[] placement) {
+    boolean[] on = new boolean[hosts.size()];
+    double cost = 0;
+    for (int p = 0; p < on.length; p++) {
+      on[p] = hosts.get(p).occupied();
+    }
+    for (int v = 0; v < placement.length; v++) {
+      int p = placement[v];
+      if (p < 0) {
+        cost += 2 * alpha;
+      } else {
+        on[p] = true;
+        if (items.get(v).current() >= 0 && items.get(v).current() != p) {
+          cost += mu;
+        }
+      }
+    }
+    for (boolean b : on) {
+      cost += b ? alpha : 0;
+    }
+    return cost;
+  }
+
+  public double bestCost() {
+    return bestCost;
+  }
+
+  /** Machine of each task in the best placement so far; -1: none. */
+  public int[] best() {
+    return best.clone();
+  }
+
+  /** Whether something better than leaving everything was found. */
+  public boolean improved() {
+    return improved;
+  }
+
+  public boolean over() {
+    return over;
+  }
+
+  public long nodes() {
+    return nodes;
+  }
+
+  /** Visits up to so many nodes. Returns true when the whole tree has been searched. */
+  public boolean step(int budget) {
+    for (int i = 0; i < budget && !over; i++) {
+      nodes++;
+      advance();
+    }
+    return over;
+  }
+
+  private void advance() {
+    if (!entered) {
+      // At a node just reached: is it a leaf, hopeless, or to be branched?
+      double cost = cost();
+      if (depth == items.size()) {
+        if (cost < bestCost - Constants.EPS) {
+          bestCost = cost;
+          System.arraycopy(at, 0, best, 0, at.length);
+          improved = true;
+        }
+        back();
+        return;
+      }
+      if (lowerBound() >= bestCost - Constants.EPS) {
+        back();
+        return;
+      }
+      int v = select();
+      pathItem[depth] = v;
+      pathChildren[depth] = children(v);
+      pathNext[depth] = 0;
+      entered = true;
+      return;
+    }
+    int v = pathItem[depth];
+    if (pathNext[depth] == pathChildren[depth].length) {
+      back();
+      return;
+    }
+    place(v, pathChildren[depth][pathNext[depth]++]);
+    depth++;
+    entered = false;
+  }
+
+  private void back() {
+    if (depth == 0) {
+      over = true;
+      return;
+    }
+    depth--;
+    unplace(pathItem[depth]);
+    entered = true;
+  }
+
+  private double cost() {
+    return alpha * active + mu * moves + 2 * alpha * skipped;
+  }
+
+  /**
+   * The least cost of any completion if capacity did not count: the tasks not placed yet stay where
+   * they are, and the machines that then hold the fewest are emptied while moves are left. Counting
+   * starts at machines that hold one task: one that holds none costs nothing and saves nothing.
+   */
+  double lowerBound() {
+    double cost = cost();
+    int[] byCount = new int[items.size() + 1];
+    for (int p = 0; p < waiting.length; p++) {
+      if (waiting[p] > 0 && held[p] == 0 && !hosts.get(p).occupied()) {
+        byCount[waiting[p]]++;
+        cost += alpha;
+      }
+    }
+    int left = maxMoves - moves;
+    for (int j = 1; j < byCount.length && j < alpha / mu && left > 0; j++) {
+      int t = Math.min(byCount[j], left / j);
+      left -= t * j;
+      cost -= t * (alpha - mu * j);
+    }
+    return cost;
+  }
+
+  /** First fail: the task with the fewest possible machines; the largest single resource on ties. */
+  private int select() {
+    int chosen = -1;
+    int fewest = Integer.MAX_VALUE;
+    double largest = -1;
+    for (int v = 0; v < at.length; v++) {
+      if (at[v] != OPEN) {
+        continue;
+      }
+      int possible = 0;
+      for (int p = 0; p < free.length && possible <= fewest; p++) {
+        if (fits(v, p)) {
+          possible++;
+        }
+      }
+      double size = size(v);
+      if (possible < fewest || possible == fewest && size > largest) {
+        chosen = v;
+        fewest = possible;
+        largest = size;
+      }
+    }
+    return chosen;
+  }
+
+  private double size(int v) {
+    double most = 0;
+    double[] load = items.get(v).load();
+    for (int k = 0; k < load.length; k++) {
+      most = Math.max(most, scale[k] > 0 ? load[k] / scale[k] : 0);
+    }
+    return most;
+  }
+
+  private boolean fits(int v, int p) {
+    Item i = items.get(v);
+    if (!i.allowed()[p]) {
+      return false;
+    }
+    if (i.current() >= 0 && i.current() != p && moves >= maxMoves) {
+      return false;
+    }
+    for (int k = 0; k < free[p].length; k++) {
+      if (i.load()[k] > free[p][k] + Constants.EPS) {
+        return false;
+      }
+    }
+    if (i.group() != null && held[p] > 0) {
+      for (int w = 0; w < at.length; w++) {
+        if (at[w] == p && i.group().equals(items.get(w).group())) {
+          return false;
+        }
+      }
+    }
+    return true;
+  }
+
+  /** Its own machine first, then the others by free room, machines that are empty last. */
+  private int[] children(int v) {
+    Item i = items.get(v);
+    List<Integer> others = new ArrayList<>();
+    for (int p = 0; p < free.length; p++) {
+      if (p != i.current() && fits(v, p) && !twin(v, p)) {
+        others.add(p);
+      }
+    }
+    others.sort(
+        (a, b) -> {
+          boolean ea = empty(a);
+          boolean eb = empty(b);
+          return ea != eb ? Boolean.compare(ea, eb) : Arrays.compare(free[a], free[b]);
+        });
+    List<Integer> out = new ArrayList<>();
+    if (i.current() >= 0 && fits(v, i.current())) {
+      out.add(i.current());
+    }
+    out.addAll(others);
+    if (i.current() < 0) {
+      out.add(UNPLACED);
+    }
+    return out.stream().mapToInt(Integer::intValue).toArray();
+  }
+
+  private boolean empty(int p) {
+    return held[p] == 0 && waiting[p] == 0 && !hosts.get(p).occupied();
+  }
+
+  /** Of empty machines that no task can tell apart only the first is tried. */
+  private boolean twin(int v, int p) {
+    if (!empty(p)) {
+      return false;
+    }
+    for (int q = 0; q < p; q++) {
+      if (empty(q) && Arrays.equals(free[p], free[q]) && alike(p, q) && fits(v, q)) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  private boolean alike(int p, int q) {
+    for (Item i : items) {
+      if (i.allowed()[p] != i.allowed()[q]) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  private void place(int v, int p) {
+    Item i = items.get(v);
+    at[v] = p;
+    if (i.current() >= 0) {
+      waiting[i.current()]--;
+    }
+    if (p == UNPLACED) {
+      skipped++;
+      return;
+    }
+    if (held[p]++ == 0 && !hosts.get(p).occupied()) {
+      active++;
+    }
+    if (i.current() >= 0 && i.current() != p) {
+      moves++;
+    }
+    for (int k = 0; k < free[p].length; k++) {
+      free[p][k] -= i.load()[k];
+    }
+  }
+
+  private void unplace(int v) {
+    Item i = items.get(v);
+    int p = at[v];
+    at[v] = OPEN;
+    if (i.current() >= 0) {
+      waiting[i.current()]++;
+    }
+    if (p == UNPLACED) {
+      skipped--;
+      return;
+    }
+    if (--held[p] == 0 && !hosts.get(p).occupied()) {
+      active--;
+    }
+    if (i.current() >= 0 && i.current() != p) {
+      moves--;
+    }
+    for (int k = 0; k < free[p].length; k++) {
+      free[p][k] += i.load()[k];
+    }
+  }
+}
