--- a/src/main/java/org/baygw/control/Constants.java
+++ b/src/main/java/org/baygw/control/Constants.java
@@ -122,6 +122,33 @@
   /** Machines per return request (protocol). */
   public static final int MAX_RETURN = 100;
 
+  /** Weight of an active machine (the paper's value). */
+  public static final double ALPHA = 10;
+
+  /** Weight of a move (the paper's value). */
+  public static final double MU = 1;
+
+  /** K as a share of the machines (the paper's value). */
+  public static final double MOVE_SHARE = 0.1;
+
+  /** s between rounds (the design's starting value). */
+  public static final double ROUND_PERIOD_S = 20;
+
+  /** Nodes a round may visit; at the start about what 100 ms allow on a whole core. */
+  public static final int SEARCH_NODES = 2_000;
+
+  /** Nodes per step, so that reports and polls are answered between steps. */
+  public static final int SEARCH_STEP = 50;
+
+  /** s. Tasks that run longer stay put (the design's starting value). */
+  public static final double AGE_LIMIT_S = 60;
+
+  /** ms after which a planned move that did not come about is dropped. */
+  public static final long MOVE_PLAN_MS = 15_000;
+
+  /** Tasks the desk may stop in one pass to make room. */
+  public static final int PREEMPT_PER_PASS = 16;
+
   /** Relative slack when amounts are compared: they are sums of decimals. */
   public static final double EPS = 1e-6;
 
--- a/src/main/java/org/baygw/control/Controller.java
+++ b/src/main/java/org/baygw/control/Controller.java
@@ -76,6 +76,7 @@
     membership.tick();
     desk.tick();
     workers.tick();
+    workers.round();
     fleet.tick();
   }
 }
--- /dev/null
+++ b/src/main/java/org/baygw/control/model/Params.java
@@ -0,0 +1,57 @@
+package org.baygw.control.model;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import org.baygw.control.Constants;
+import org.baygw.control.core.Json;
+
+/** The design's open parameters; operators change them through the administration API. */
+public record Params(
+    double alpha,
+    double mu,
+    double moveShare,
+    double roundPeriodS,
+    int searchNodes,
+    double ageLimitS) {
+
+  public static final Params DEFAULTS =
+      new Params(
+          Constants.ALPHA,
+          Constants.MU,
+          Constants.MOVE_SHARE,
+          Constants.ROUND_PERIOD_S,
+          Constants.SEARCH_NODES,
+          Constants.AGE_LIMIT_S);
+
+  /** Reads what is given over these; throws IllegalArgumentException naming a field out of range. */
+  public Params with(JsonNode n) {
+    return new Params(
+        number(n, "alpha", alpha, 1e-3, 1e6),
+        number(n, "mu", mu, 1e-3, 1e6),
+        number(n, "move_share", moveShare, 0, 1),
+        number(n, "round_period_s", roundPeriodS, 1, 3600),
+        (int) number(n, "search_nodes", searchNodes, 1, 1_000_000),
+        number(n, "age_limit_s", ageLimitS, 0, 86_400));
+  }
+
+  public ObjectNode toJson() {
+    return Json.object()
+        .put("alpha", alpha)
+        .put("mu", mu)
+        .put("move_share", moveShare)
+        .put("round_period_s", roundPeriodS)
+        .put("search_nodes", searchNodes)
+        .put("age_limit_s", ageLimitS);
+  }
+
+  private static double number(JsonNode n, String field, double now, double least, double most) {
+    JsonNode v = n.path(field);
+    if (v.isMissingNode()) {
+      return now;
+    }
+    if (!v.isNumber() || !(v.asDouble() >= least && v.asDouble() <= most)) {
+      throw new IllegalArgumentException(field + ": must be from " + least + " to " + most);
+    }
+    return v.asDouble();
+  }
+}
--- a/src/main/java/org/baygw/control/placement/BranchAndBound.java
+++ b/src/main/java/org/baygw/control/placement/BranchAndBound.java
@@ -120,6 +120,11 @@
     return cost;
   }
 
+  /** Where the task was at the start. */
+  public int current(int item) {
+    return items.get(item).current();
+  }
+
   public double bestCost() {
     return bestCost;
   }
--- a/src/main/java/org/baygw/control/store/Keys.java
+++ b/src/main/java/org/baygw/control/store/Keys.java
@@ -4,6 +4,7 @@
 public final class Keys {
   public static final String ROOT = "b/";
   public static final String TYPES = ROOT + "types";
+  public static final String PARAMS = ROOT + "params";
   public static final String DESK = "desk";
 
   public static String job(String id) {
--- a/src/main/java/org/baygw/control/store/View.java
+++ b/src/main/java/org/baygw/control/store/View.java
@@ -12,6 +12,7 @@
 import org.baygw.control.model.Job;
 import org.baygw.control.model.Machine;
 import org.baygw.control.model.MachineType;
+import org.baygw.control.model.Params;
 import org.baygw.control.model.Part;
 import org.baygw.control.model.Progress;
 import org.baygw.control.model.Records;
@@ -54,6 +55,7 @@
   public final TreeMap<String, Entry<Rental>> rentals = new TreeMap<>();
   public final TreeMap<String, Entry<Drain>> drains = new TreeMap<>();
   public List<MachineType> types = List.of();
+  public Params params = Params.DEFAULTS;
 
   /** The machines that may have a task. More than one only while something is wrong. */
   public final Map<TaskId, Set<String>> places = new HashMap<>();
@@ -213,6 +215,7 @@
         changedMachines.add(id);
       }
       case "types" -> types = v == null ? List.of() : Records.types(v);
+      case "params" -> params = v == null ? Params.DEFAULTS : Params.DEFAULTS.with(v);
       default -> LOG.debug("unknown key {}", key);
     }
   }
--- a/src/main/java/org/baygw/control/workers/Agent.java
+++ b/src/main/java/org/baygw/control/workers/Agent.java
@@ -36,6 +36,10 @@
   long noticeUntil;
   Map<TaskId, WorkerCodec.Seen> seen = new LinkedHashMap<>();
   final Map<TaskId, Flight> flights = new HashMap<>();
+
+  /** When this owner launched what is on the machine; tasks it did not launch have no known age. */
+  final Map<TaskId, Long> launched = new HashMap<>();
+
   final Map<TaskId, Long> killed = new HashMap<>();
   final Set<String> images = new HashSet<>();
   final Set<String> failedJobs = new HashSet<>();
--- /dev/null
+++ b/src/main/java/org/baygw/control/workers/Rounds.java
@@ -0,0 +1,212 @@
+package org.baygw.control.workers;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Supplier;
+import org.baygw.control.Constants;
+import org.baygw.control.model.Job;
+import org.baygw.control.model.JobSpec;
+import org.baygw.control.model.Params;
+import org.baygw.control.model.Part;
+import org.baygw.control.model.TaskId;
+import org.baygw.control.placement.BranchAndBound;
+import org.baygw.control.placement.Room;
+import org.baygw.control.store.View;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * The design's rounds over the machines of this controller: sets a search up, lets it run a few nodes
+ * at a time, and keeps the moves it asked for until they are made or out of date.
+ */
+final class Rounds {
+  /** Age of a task that this owner launched. */
+  interface Age {
+    double ageS(String machine, TaskId t);
+  }
+
+  /** Whether a task cannot be moved now whatever its age. */
+  interface Pinned {
+    boolean pinned(String machine, TaskId t);
+  }
+
+  private record Move(String from, String to, long until) {}
+
+  private static final Logger LOG = LoggerFactory.getLogger(Rounds.class);
+
+  private final Map<TaskId, Move> moves = new HashMap<>();
+  private BranchAndBound search;
+  private List<TaskId> tasks = List.of();
+  private List<String> machines = List.of();
+  private double costBefore;
+  private long nextRound;
+  private long searched;
+  private long found;
+  private long planned;
+
+  long searched() {
+    return searched;
+  }
+
+  long found() {
+    return found;
+  }
+
+  long planned() {
+    return planned;
+  }
+
+  /** Where the task is to go, or null. */
+  String target(TaskId t, String from) {
+    Move m = moves.get(t);
+    return m != null && m.from().equals(from) ? m.to() : null;
+  }
+
+  List<TaskId> movingTo(String machine) {
+    List<TaskId> out = new ArrayList<>();
+    moves.forEach(
+        (t, m) -> {
+          if (m.to().equals(machine)) {
+            out.add(t);
+          }
+        });
+    return out;
+  }
+
+  void drop(TaskId t) {
+    moves.remove(t);
+  }
+
+  /** Goes on with the round; returns where pending tasks are to be placed. */
+  Map<TaskId, String> tick(
+      long now,
+      View view,
+      Params params,
+      Supplier<List<Room>> rooms,
+      Supplier<Map<TaskId, Part>> pending,
+      Age age,
+      Pinned pinned) {
+    moves
+        .entrySet()
+        .removeIf(
+            e -> now > e.getValue().until() || !view.jobs.containsKey(e.getKey().job()));
+    if (search == null) {
+      if (now < nextRound) {
+        return Map.of();
+      }
+      nextRound = now + (long) (params.roundPeriodS() * 1000);
+      begin(view, params, rooms.get(), pending.get(), age, pinned);
+      return Map.of();
+    }
+    if (search.step(Constants.SEARCH_STEP) || search.nodes() >= params.searchNodes()) {
+      return finish(now);
+    }
+    return Map.of();
+  }
+
+  private void begin(
+      View view,
+      Params params,
+      List<Room> rooms,
+      Map<TaskId, Part> pending,
+      Age age,
+      Pinned pinned) {
+    if (rooms.size() < 2) {
+      return;
+    }
+    List<BranchAndBound.Host> hosts = new ArrayList<>();
+    List<BranchAndBound.Item> items = new ArrayList<>();
+    tasks = new ArrayList<>();
+    machines = rooms.stream().map(r -> r.machine().name()).toList();
+    for (int p = 0; p < rooms.size(); p++) {
+      Room r = rooms.get(p);
+      double[] free = {r.freeCpus(), r.freeGpus(), r.freeMemoryGb()};
+      boolean stays = false;
+      for (TaskId t : r.machine().tasks().keySet()) {
+        View.Entry<Job> j = view.jobs.get(t.job());
+        if (j == null) {
+          continue;
+        }
+        JobSpec s = j.value().spec();
+        if (s.oneZone() || pinned.pinned(r.machine().name(), t)
+            || age.ageS(r.machine().name(), t) > params.ageLimitS()) {
+          stays = true;
+          continue;
+        }
+        boolean[] allowed = new boolean[rooms.size()];
+        for (int q = 0; q < allowed.length; q++) {
+          var m = rooms.get(q).machine();
+          allowed[q] =
+              q == p
+                  || Room.allowed(s, m.type(), m.zone(), m.spot())
+                      && (!s.spread() || m.zone().equals(r.machine().zone()));
+        }
+        double[] load = {s.cpus(), s.gpus(), s.memoryGb()};
+        for (int k = 0; k < load.length; k++) {
+          free[k] += load[k];
+        }
+        items.add(new BranchAndBound.Item(load, p, s.service() ? s.id() : null, allowed));
+        tasks.add(t);
+      }
+      hosts.add(new BranchAndBound.Host(free, stays));
+    }
+    pending.forEach(
+        (t, part) -> {
+          View.Entry<Job> j = view.jobs.get(t.job());
+          if (j != null && j.value().open()) {
+            JobSpec s = j.value().spec();
+            boolean[] allowed = new boolean[rooms.size()];
+            for (int q = 0; q < allowed.length; q++) {
+              var m = rooms.get(q).machine();
+              allowed[q] = m.part().equals(part) && Room.allowed(s, m.type(), m.zone(), m.spot());
+            }
+            double[] load = {s.cpus(), s.gpus(), s.memoryGb()};
+            items.add(new BranchAndBound.Item(load, -1, s.service() ? s.id() : null, allowed));
+            tasks.add(t);
+          }
+        });
+    int most = (int) Math.ceil(rooms.size() * params.moveShare());
+    if (items.isEmpty() || most == 0) {
+      return;
+    }
+    search = new BranchAndBound(hosts, items, params.alpha(), params.mu(), most);
+    costBefore = search.bestCost();
+    searched++;
+  }
+
+  private Map<TaskId, String> finish(long now) {
+    Map<TaskId, String> placed = new LinkedHashMap<>();
+    int[] best = search.best();
+    if (search.improved()) {
+      found++;
+      for (int v = 0; v < best.length; v++) {
+        if (search.current(v) < 0 && best[v] >= 0) {
+          placed.put(tasks.get(v), machines.get(best[v]));
+        } else if (best[v] >= 0 && best[v] != search.current(v)) {
+          moves.put(
+              tasks.get(v),
+              new Move(
+                  machines.get(search.current(v)),
+                  machines.get(best[v]),
+                  now + Constants.MOVE_PLAN_MS));
+          planned++;
+        }
+      }
+      LOG.info(
+          "a round over {} tasks and {} machines found {} instead of {} after {} nodes: {}",
+          best.length,
+          machines.size(),
+          search.bestCost(),
+          costBefore,
+          search.nodes(),
+          moves);
+    } else {
+      LOG.debug("a round over {} tasks found nothing in {} nodes", best.length, search.nodes());
+    }
+    search = null;
+    return placed;
+  }
+}
--- a/src/main/java/org/baygw/control/workers/Workers.java
+++ b/src/main/java/org/baygw/control/workers/Workers.java
@@ -58,6 +58,8 @@
   /** Machines the cloud has taken back: a late report must not bring one to life again. */
   private final Set<String> buried = new HashSet<>();
 
+  private final Rounds rounds = new Rounds();
+
   private final Set<TaskId> placing = new HashSet<>();
   private final Map<TaskId, Long> unplacedSince = new HashMap<>();
   private final Map<String, Backoff> backoffs = new HashMap<>();
@@ -129,6 +131,7 @@
       for (WorkerCodec.Order o : orders) {
         if (o.verb() == WorkerCodec.Verb.LAUNCH) {
           a.flight(o.task()).replyTick = r.tick();
+          a.launched.put(o.task(), clock.now());
         }
       }
     }
@@ -177,6 +180,71 @@
     place();
   }
 
+  /** The design's rounds, a few steps at a time. */
+  public void round() {
+    if (!store.loaded()) {
+      return;
+    }
+    Map<TaskId, String> placed =
+        rounds.tick(
+            clock.now(),
+            view,
+            view.params,
+            this::candidates,
+            this::pending,
+            this::ageS,
+            this::pinned);
+    Map<String, Map<TaskId, Integer>> onto = new LinkedHashMap<>();
+    placed.forEach(
+        (t, machine) -> {
+          Progress p = view.progress(t.job(), t.index() / Constants.CHUNK_TASKS);
+          Progress.Live l = p == null ? null : p.live.get(t.index());
+          View.Entry<Machine> e = view.machines.get(machine);
+          Agent a = agents.get(machine);
+          View.Entry<Job> j = view.jobs.get(t.job());
+          if (l != null && !l.stop() && e != null && a != null && j != null && j.value().open()
+              && l.part().equals(e.value().part()) && !placing(t) && !a.busy
+              && membership.owned(l.part()) == a.claim && placeable(a, e.value())
+              && room(a, e.value()).fits(j.value().spec())) {
+            onto.computeIfAbsent(machine, k -> new LinkedHashMap<>()).put(t, l.attempt());
+          }
+        });
+    onto.forEach((machine, tasks) -> put(agents.get(machine), Map.copyOf(tasks)));
+  }
+
+  private List<Room> candidates() {
+    List<Room> out = new ArrayList<>();
+    for (Part p : membership.parts()) {
+      long claim = membership.owned(p);
+      if (claim != 0) {
+        out.addAll(rooms(p, claim));
+      }
+    }
+    return out;
+  }
+
+  /** Tasks granted to this controller's parts that are on no machine. */
+  private Map<TaskId, Part> pending() {
+    Map<TaskId, Part> out = new LinkedHashMap<>();
+    for (Part p : membership.parts()) {
+      if (membership.owned(p) != 0) {
+        view.granted(p).stream().filter(t -> !placing(t)).forEach(t -> out.put(t, p));
+      }
+    }
+    return out;
+  }
+
+  /** Seconds since this owner launched the task; endless where it did not. */
+  private double ageS(String machine, TaskId t) {
+    Long at = agents.get(machine).launched.get(t);
+    return at == null ? Double.POSITIVE_INFINITY : (clock.now() - at) / 1000.0;
+  }
+
+  private boolean pinned(String machine, TaskId t) {
+    WorkerCodec.Seen s = agents.get(machine).seen.get(t);
+    return s == null || s.state() != WorkerCodec.State.RUNNING;
+  }
+
   private boolean owns(Agent a) {
     View.Entry<Machine> m = view.machines.get(a.name);
     return m != null && membership.owned(m.value().part()) == a.claim
@@ -221,6 +289,7 @@
     a.noticeUntil = r.noticeS() == null ? 0 : clock.now() + (long) (r.noticeS() * 1000);
     a.endFlights(checkin);
     a.killed.keySet().retainAll(r.tasks().keySet());
+    a.launched.keySet().removeIf(t -> !r.tasks().containsKey(t) && !a.flights.containsKey(t));
     for (Map.Entry<TaskId, WorkerCodec.Seen> t : r.tasks().entrySet()) {
       View.Entry<Job> j = view.jobs.get(t.getKey().job());
       if (j != null && t.getValue().state() != WorkerCodec.State.FETCHING) {
@@ -365,6 +434,7 @@
             .when(Keys.machine(m.name()), e.stamp())
             .when(Keys.claim(m.part().toString()), a.claim);
     List<Runnable> after = new ArrayList<>();
+    Map.Entry<Agent, View.Entry<Machine>> target = null;
     for (Map.Entry<TaskId, End> end : ends.entrySet()) {
       TaskId t = end.getKey();
       int chunk = t.index() / Constants.CHUNK_TASKS;
@@ -372,8 +442,8 @@
       if (busyChunks.contains(key)) {
         continue;
       }
-      // One write for the machine, one for its drain, and up to two for each chunk of a job.
-      if (!next.containsKey(key) && 2 * (next.size() + 1) + 2 > settings.state().txnOps()) {
+      // One write for the machine, one for its drain or a move, and up to two for each chunk of a job.
+      if (!next.containsKey(key) && 2 * (next.size() + 1) + 3 > settings.state().txnOps()) {
         continue;
       }
       Progress now = view.progress(t.job(), chunk);
@@ -385,9 +455,26 @@
       Progress p = next.computeIfAbsent(key, k -> now.copy());
       if (end.getValue() == End.DONE) {
         p.complete(t.index());
+      } else if (target == null) {
+        target = moveTo(a, t, drain);
+        if (target != null) {
+          // A move: off this machine and onto the other in one write, under the next attempt.
+          p.back(t.index());
+          Machine to = target.getValue().value();
+          Map<TaskId, Integer> there = new LinkedHashMap<>(to.tasks());
+          there.put(t, p.grant(t.index(), to.part()));
+          txn.when(Keys.machine(to.name()), target.getValue().stamp())
+              .when(Keys.claim(to.part().toString()), target.getKey().claim)
+              .when(Keys.drain(to.name()), 0)
+              .when(Keys.job(t.job()), view.stamp(Keys.job(t.job())))
+              .put(Keys.machine(to.name()), Records.machine(to.withTasks(there)));
+        } else {
+          p.back(t.index());
+        }
       } else {
         p.back(t.index());
       }
+      rounds.drop(t);
       after.add(() -> learn(a, t, end.getValue()));
     }
     if (left.size() == m.tasks().size() && drain == null) {
@@ -420,10 +507,40 @@
     } else {
       txn.put(Keys.machine(m.name()), Records.machine(m.withTasks(left)));
     }
-    write(a, Store.Urgency.LAUNCH, txn, chunks, () -> {}, () -> after.forEach(Runnable::run));
+    Agent to = target == null ? null : target.getKey();
+    if (to != null) {
+      to.busy = true;
+    }
+    write(
+        a,
+        to == null ? Store.Urgency.LAUNCH : Store.Urgency.MOVE,
+        txn,
+        chunks,
+        () -> {
+          if (to != null) {
+            to.busy = false;
+          }
+        },
+        () -> after.forEach(Runnable::run));
     return true;
   }
 
+  /** The machine that a round chose for the task, if it can still take it; else null. */
+  private Map.Entry<Agent, View.Entry<Machine>> moveTo(
+      Agent from, TaskId t, View.Entry<View.Drain> drain) {
+    String name = drain == null ? rounds.target(t, from.name) : null;
+    View.Entry<Machine> e = name == null ? null : view.machines.get(name);
+    Agent a = name == null ? null : agents.get(name);
+    View.Entry<Job> j = view.jobs.get(t.job());
+    if (e == null || a == null || a.busy || j == null || !j.value().open()
+        || !placeable(a, e.value()) || view.progress(t.job(), t.index() / Constants.CHUNK_TASKS)
+            .live.get(t.index()).stop()) {
+      return null;
+    }
+    Room r = room(a, e.value());
+    return r != null && r.fits(j.value().spec()) ? Map.entry(a, e) : null;
+  }
+
   /** Tells a machine that fails everything from a job that fails everywhere. */
   private void learn(Agent a, TaskId t, End end) {
     WorkerCodec.Seen s = a.seen.get(t);
@@ -506,6 +623,9 @@
     if (!wanted(t, s.attempt(), m)) {
       return spec.checkpoints() ? spec.saveS() * 2 + 1 : 0;
     }
+    if (rounds.target(t, m.name()) != null && s.state() == WorkerCodec.State.RUNNING) {
+      return spec.checkpoints() ? spec.saveS() * 2 + 1 : 0;
+    }
     if (a.noticeUntil > 0 && spec.checkpoints() && s.state() != WorkerCodec.State.SAVING) {
       return spec.saveS() * 2 + 1; // the notice: save while there is time
     }
@@ -549,6 +669,7 @@
     if (certain) {
       for (TaskId t : launched) {
         Agent.Flight f = a.flights.get(t);
+        a.launched.put(t, clock.now());
         if (f != null) {
           f.directToken = 0;
           if (f.over()) {
@@ -627,20 +748,14 @@
     for (View.Entry<Machine> e : view.machines.values()) {
       Machine m = e.value();
       Agent a = agents.get(m.name());
-      if (!m.part().equals(part) || a == null || a.claim != claim || a.busy || !a.trusted()
-          || a.leaseOver || a.noticeUntil > 0 || m.condition() != Machine.Condition.OK
-          || view.drains.containsKey(m.name())
-          || clock.now() - a.lastHeard > settings.workers().reportS() * 2_000) {
+      if (!m.part().equals(part) || a == null || a.claim != claim || a.busy
+          || !placeable(a, m)) {
         continue;
       }
-      Room r = Room.of(view, m);
+      Room r = room(a, m);
       if (r != null) {
-        for (Map.Entry<TaskId, WorkerCodec.Seen> s : a.seen.entrySet()) {
-          View.Entry<Job> j = view.jobs.get(s.getKey().job());
-          if (j != null && s.getValue().state() != WorkerCodec.State.ENDED
-              && !m.tasks().containsKey(s.getKey())) {
-            r.take(j.value().spec()); // not in the record, but there until it is killed
-          }
+        for (TaskId t : rounds.movingTo(m.name())) {
+          r.take(view.jobs.get(t.job()).value().spec());
         }
         out.add(r);
       }
@@ -648,6 +763,29 @@
     return out;
   }
 
+  private boolean placeable(Agent a, Machine m) {
+    return a.trusted()
+        && !a.leaseOver
+        && a.noticeUntil == 0
+        && m.condition() == Machine.Condition.OK
+        && !view.drains.containsKey(m.name())
+        && clock.now() - a.lastHeard <= settings.workers().reportS() * 2_000;
+  }
+
+  private Room room(Agent a, Machine m) {
+    Room r = Room.of(view, m);
+    if (r != null) {
+      for (Map.Entry<TaskId, WorkerCodec.Seen> s : a.seen.entrySet()) {
+        View.Entry<Job> j = view.jobs.get(s.getKey().job());
+        if (j != null && s.getValue().state() != WorkerCodec.State.ENDED
+            && !m.tasks().containsKey(s.getKey())) {
+          r.take(j.value().spec()); // not in the record, but there until it is killed
+        }
+      }
+    }
+    return r;
+  }
+
   /** Spot machines first for those that may use them, then machines that have the image. */
   private Room firstFit(List<Room> rooms, JobSpec s) {
     Backoff b = backoffs.get(s.id());
