Move only tasks younger than 5 s

Cause: moves of tasks that cannot save cost up to the age limit of work each. Excluded: weights unchanged.

--- a/src/main/java/org/baygw/control/Constants.java
+++ b/src/main/java/org/baygw/control/Constants.java
@@ -140,8 +140,8 @@
   /** Nodes per step, so that reports and polls are answered between steps. */
   public static final int SEARCH_STEP = 50;
 
-  /** s. Tasks that run longer stay put (the design's starting value). */
-  public static final double AGE_LIMIT_S = 60;
+  /** s. Tasks that run longer stay put: a move restarts a task that cannot save, so it must be young. */
+  public static final double AGE_LIMIT_S = 5;
 
   /** ms after which a planned move that did not come about is dropped. */
   public static final long MOVE_PLAN_MS = 15_000;
