--- a/src/main/java/org/baygw/control/Constants.java
+++ b/src/main/java/org/baygw/control/Constants.java
@@ -2,8 +2,8 @@
 
 /** Every fixed number of the service, each with its unit and its reason. */
 public final class Constants {
-  /** Parts per zone. Enough that two or three controllers get even shares; few enough to pack well. */
-  public static final int PARTS_PER_ZONE = 6;
+  /** Parts per zone. Few: each is packed by itself, and a site has 28 machines in one zone. */
+  public static final int PARTS_PER_ZONE = 3;
 
   /** Tasks per progress key. 128 live tasks take about 3 KiB, well inside an 8 KiB value. */
   public static final int CHUNK_TASKS = 128;
