Begin no empty machine while one in use has room

Cause: the roomiest part is the one with empty machines, so replicas were spread over all of them. Excluded: parts and weights unchanged.

--- a/src/main/java/org/baygw/control/quota/Desk.java
+++ b/src/main/java/org/baygw/control/quota/Desk.java
@@ -250,7 +250,7 @@
     Part best = null;
     Room bestRoom = null;
     double most = -1;
-    boolean bestSpot = false;
+    int bestRank = -1;
     for (Map.Entry<Part, List<Room>> e : rooms.entrySet()) {
       int z = settings.zones().indexOf(e.getKey().zone());
       if (z < 0 || only != null && !only.equals(e.getKey().zone())
@@ -259,24 +259,21 @@
       }
       double free = 0;
       Room fit = null;
+      int rank = -1;
       for (Room r : e.getValue()) {
         if (r.fits(s)) {
-          free += r.freeCpus();
-          if (fit == null || r.machine().spot() && !fit.machine().spot()) {
+          free += r.tasks() > 0 ? r.freeCpus() : 0;
+          if (rank(s, r) > rank || rank(s, r) == rank && !s.service()) {
             fit = r;
+            rank = rank(s, r);
           }
         }
       }
-      if (fit == null) {
-        continue;
-      }
-      // Tasks that may use spot machines leave the others to those that may not.
-      boolean spot = fit.machine().spot();
-      if (best == null || spot && !bestSpot || spot == bestSpot && free > most) {
+      if (fit != null && (rank > bestRank || rank == bestRank && free > most)) {
         best = e.getKey();
         bestRoom = fit;
         most = free;
-        bestSpot = spot;
+        bestRank = rank;
       }
     }
     if (bestRoom != null) {
@@ -285,6 +282,14 @@
     return best;
   }
 
+  /**
+   * Tasks that may use spot machines leave the others to those that may not; and no empty machine is
+   * begun while one in use has room, as the search has it too.
+   */
+  private static int rank(JobSpec s, Room r) {
+    return (s.spot() && r.machine().spot() ? 2 : 0) + (r.tasks() > 0 ? 1 : 0);
+  }
+
   private String onlyZone(JobSpec s, int[] zoneLive) {
     if (s.zone() != null) {
       return s.zone();
--- a/src/main/java/org/baygw/control/workers/Workers.java
+++ b/src/main/java/org/baygw/control/workers/Workers.java
@@ -786,7 +786,10 @@
     return r;
   }
 
-  /** Spot machines first for those that may use them, then machines that have the image. */
+  /**
+   * Spot machines first for those that may use them, then machines in use, then those that have the
+   * image; then the oldest for services, which stay, and the newest for arrays, which soon leave.
+   */
   private Room firstFit(List<Room> rooms, JobSpec s) {
     Backoff b = backoffs.get(s.id());
     if (b != null && clock.now() < b.until) {
@@ -802,8 +805,11 @@
       if (b != null && b.machines.getOrDefault(a.name, 0L) > clock.now()) {
         continue;
       }
-      int score = (r.machine().spot() ? 2 : 0) + (a.images.contains(s.image()) ? 1 : 0);
-      if (score > bestScore) {
+      int score =
+          (r.machine().spot() ? 4 : 0)
+              + (r.tasks() > 0 ? 2 : 0)
+              + (a.images.contains(s.image()) ? 1 : 0);
+      if (score > bestScore || score == bestScore && !s.service()) {
         best = r;
         bestScore = score;
       }
