Let replicas join the rounds whatever their age, onto machines with their image

Cause: services placed while machines were full stay scattered; the age limit exists for work a move loses, and a replica has none.

--- a/src/main/java/org/baygw/control/workers/Rounds.java
+++ b/src/main/java/org/baygw/control/workers/Rounds.java
@@ -33,6 +33,11 @@
     boolean pinned(String machine, TaskId t);
   }
 
+  /** Whether a machine has an image. */
+  interface Cached {
+    boolean cached(String machine, String image);
+  }
+
   private record Move(String from, String to, long until) {}
 
   private static final Logger LOG = LoggerFactory.getLogger(Rounds.class);
@@ -88,7 +93,8 @@
       Supplier<List<Room>> rooms,
       Supplier<Map<TaskId, Part>> pending,
       Age age,
-      Pinned pinned) {
+      Pinned pinned,
+      Cached cached) {
     moves
         .entrySet()
         .removeIf(
@@ -98,7 +104,7 @@
         return Map.of();
       }
       nextRound = now + (long) (params.roundPeriodS() * 1000);
-      begin(view, params, rooms.get(), pending.get(), age, pinned);
+      begin(view, params, rooms.get(), pending.get(), age, pinned, cached);
       return Map.of();
     }
     if (search.step(Constants.SEARCH_STEP) || search.nodes() >= params.searchNodes()) {
@@ -113,7 +119,8 @@
       List<Room> rooms,
       Map<TaskId, Part> pending,
       Age age,
-      Pinned pinned) {
+      Pinned pinned,
+      Cached cached) {
     if (rooms.size() < 2) {
       return;
     }
@@ -142,6 +149,8 @@
           allowed[q] =
               q == p
                   || Room.allowed(s, m.type(), m.zone(), m.spot())
+                      // A replica is down while its image is fetched.
+                      && (!s.service() || cached.cached(m.name(), s.image()))
                       && (!s.spread() || m.zone().equals(r.machine().zone()));
         }
         double[] load = {s.cpus(), s.gpus(), s.memoryGb()};
--- a/src/main/java/org/baygw/control/workers/Workers.java
+++ b/src/main/java/org/baygw/control/workers/Workers.java
@@ -193,7 +193,8 @@
             this::candidates,
             this::pending,
             this::ageS,
-            this::pinned);
+            this::pinned,
+            (machine, image) -> agents.get(machine).images.contains(image));
     Map<String, Map<TaskId, Integer>> onto = new LinkedHashMap<>();
     placed.forEach(
         (t, machine) -> {
@@ -234,8 +235,14 @@
     return out;
   }
 
-  /** Seconds since this owner launched the task; endless where it did not. */
+  /**
+   * Seconds of work that a move would lose at most: since this owner launched the task, and endless
+   * where it did not. A replica has no work to lose, so its age never keeps it where it is.
+   */
   private double ageS(String machine, TaskId t) {
+    if (view.jobs.get(t.job()).value().spec().service()) {
+      return 0;
+    }
     Long at = agents.get(machine).launched.get(t);
     return at == null ? Double.POSITIVE_INFINITY : (clock.now() - at) / 1000.0;
   }
