--- a/src/main/java/org/baygw/control/config/Settings.java
+++ b/src/main/java/org/baygw/control/config/Settings.java
@@ -13,6 +13,7 @@
     String stateAddr,
     List<String> zones,
     List<Team> teams,
+    List<Objective> objectives,
     WorkerTimes workers,
     StateLimits state,
     CloudLimits cloud,
@@ -27,6 +28,12 @@
   /** A team's guarantee and limit. */
   public record Team(String name, double cpus, double cpusMax, double gpus, double gpusMax) {}
 
+  /**
+   * What is expected for a class of jobs: finished within so many seconds, or within so many times
+   * its deadline. The one that does not apply is 0.
+   */
+  public record Objective(String jobClass, double withinS, double times) {}
+
   /** Workers' periods, in seconds. */
   public record WorkerTimes(double reportS, double leaseS, double cancelS) {}
 
--- a/src/main/java/org/baygw/control/config/SettingsReader.java
+++ b/src/main/java/org/baygw/control/config/SettingsReader.java
@@ -77,6 +77,17 @@
     if (teams.isEmpty()) {
       throw new BadSettings("settings.teams: missing or empty");
     }
+    List<Settings.Objective> objectives = new ArrayList<>();
+    for (JsonNode n : p.path("objectives")) {
+      String kind = n.path("kind").asText();
+      if (kind.equals("finished") || kind.equals("deadline")) {
+        objectives.add(
+            new Settings.Objective(
+                text(n, "class", "settings.objectives."),
+                kind.equals("finished") ? positive(n, "within_s", "settings.objectives.") : 0,
+                kind.equals("deadline") ? n.path("times").asDouble(1) : 0));
+      }
+    }
     JsonNode w = p.path("workers");
     JsonNode s = p.path("state");
     JsonNode c = p.path("cloud");
@@ -95,6 +106,7 @@
         state,
         List.copyOf(zones),
         List.copyOf(teams),
+        List.copyOf(objectives),
         new Settings.WorkerTimes(
             positive(w, "report_s", "settings.workers."),
             positive(w, "lease_s", "settings.workers."),
--- a/src/main/java/org/baygw/control/quota/Desk.java
+++ b/src/main/java/org/baygw/control/quota/Desk.java
@@ -62,7 +62,14 @@
 
   /** A job with tasks that wait. */
   private record Queued(
-      String id, JobSpec spec, long stamp, boolean guaranteed, int pending, int[] zoneLive) {}
+      String id,
+      JobSpec spec,
+      long stamp,
+      boolean guaranteed,
+      int late,
+      double work,
+      int pending,
+      int[] zoneLive) {}
 
   public Desk(Clock clock, Settings settings, Store store, View view, Membership membership) {
     this.clock = clock;
@@ -151,6 +158,8 @@
                 job.spec(),
                 e.getValue().stamp(),
                 sum <= team.cpus() + Constants.EPS,
+                late(job),
+                (job.spec().tasks() - done) * job.spec().cpus() * job.spec().estimateS(),
                 pending,
                 zoneLive));
       }
@@ -159,7 +168,10 @@
         Comparator.comparing(
                 (Queued q) -> q.spec().priority() == JobSpec.Priority.PRODUCTION ? 0 : 1)
             .thenComparing(q -> q.guaranteed() ? 0 : 1)
+            // More jobs are in time if those that can no longer be, and the long ones, let others pass.
+            .thenComparing(Queued::late)
             .thenComparing(q -> q.spec().priority())
+            .thenComparing(Queued::work)
             .thenComparing(Queued::stamp));
     Map<Part, List<Room>> rooms = rooms();
     List<Unmet> left = new ArrayList<>();
@@ -169,6 +181,20 @@
     unmet = left;
   }
 
+  /** How many of its class's aims the job would miss even if it started now. */
+  private int late(Job job) {
+    double age = (clock.wall() - job.acceptedMs()) / 1000.0;
+    int late = 0;
+    for (Settings.Objective o : settings.objectives()) {
+      if (o.jobClass().equals(job.spec().jobClass())) {
+        Double due = job.spec().deadlineS();
+        double within = o.times() > 0 ? due == null ? 0 : due * o.times() : o.withinS();
+        late += within > 0 && age + job.spec().estimateS() > within ? 1 : 0;
+      }
+    }
+    return late;
+  }
+
   /** What the parts have free, less the tasks granted to them that are on no machine yet. */
   private Map<Part, List<Room>> rooms() {
     Map<Part, List<Room>> rooms = new TreeMap<>();
--- a/src/test/java/org/baygw/control/sim/World.java
+++ b/src/test/java/org/baygw/control/sim/World.java
@@ -155,6 +155,7 @@
         STATE,
         zones,
         teams,
+        List.of(new Settings.Objective("any", 60, 0)),
         new Settings.WorkerTimes(REPORT_MS / 1000.0, LEASE_MS / 1000.0, CANCEL_MS / 1000.0),
         new Settings.StateLimits(400, 200, 8, 16),
         new Settings.CloudLimits(10, 3),
