--- a/src/main/java/org/baygw/control/Constants.java
+++ b/src/main/java/org/baygw/control/Constants.java
@@ -11,6 +11,9 @@
   /** Most tasks recorded on one machine: 200 records of about 24 bytes stay under 8 KiB. */
   public static final int MACHINE_TASKS = 200;
 
+  /** Images remembered for a machine: a site has about a dozen, and a name takes ten bytes. */
+  public static final int MACHINE_IMAGES = 16;
+
   /** ms. The core's clock step: fine against second-long aims, cheap at a seventh of a core. */
   public static final long TICK_MS = 20;
 
--- a/src/main/java/org/baygw/control/model/Machine.java
+++ b/src/main/java/org/baygw/control/model/Machine.java
@@ -1,9 +1,15 @@
 package org.baygw.control.model;
 
+import java.util.ArrayList;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
+import org.baygw.control.Constants;
 
-/** A machine's record: what it is, and every task that may be on it, with its attempt. */
+/**
+ * A machine's record: what it is, every task that may be on it, with its attempt, and the images it
+ * probably has.
+ */
 public record Machine(
     String name,
     String type,
@@ -11,7 +17,8 @@
     boolean spot,
     String addr,
     Condition condition,
-    Map<TaskId, Integer> tasks) {
+    Map<TaskId, Integer> tasks,
+    List<String> images) {
 
   /** Whether it is fit for new tasks. */
   public enum Condition {
@@ -27,10 +34,21 @@
   }
 
   public Machine with(Condition c) {
-    return new Machine(name, type, zone, spot, addr, c, tasks);
+    return new Machine(name, type, zone, spot, addr, c, tasks, images);
   }
 
   public Machine withTasks(Map<TaskId, Integer> next) {
-    return new Machine(name, type, zone, spot, addr, condition, new LinkedHashMap<>(next));
+    return new Machine(
+        name, type, zone, spot, addr, condition, new LinkedHashMap<>(next), images);
+  }
+
+  /** Notes that the machine fetches this image; the ones used last are kept. */
+  public Machine withImage(String image) {
+    List<String> next = new ArrayList<>(images);
+    next.remove(image);
+    next.add(image);
+    int from = Math.max(0, next.size() - Constants.MACHINE_IMAGES);
+    return new Machine(
+        name, type, zone, spot, addr, condition, tasks, List.copyOf(next.subList(from, next.size())));
   }
 }
--- a/src/main/java/org/baygw/control/model/Records.java
+++ b/src/main/java/org/baygw/control/model/Records.java
@@ -105,6 +105,8 @@
     n.put("condition", m.condition().name());
     ArrayNode tasks = n.putArray("tasks");
     m.tasks().forEach((t, a) -> tasks.addArray().add(t.job()).add(t.index()).add(a));
+    ArrayNode images = n.putArray("images");
+    m.images().forEach(images::add);
     return n;
   }
 
@@ -113,6 +115,8 @@
     for (JsonNode t : n.path("tasks")) {
       tasks.put(new TaskId(t.path(0).asText(), t.path(1).asInt()), t.path(2).asInt());
     }
+    List<String> images = new ArrayList<>();
+    n.path("images").forEach(i -> images.add(i.asText()));
     return new Machine(
         name,
         n.path("type").asText(),
@@ -120,7 +124,8 @@
         n.path("spot").asBoolean(),
         n.path("addr").asText(),
         Machine.Condition.valueOf(n.path("condition").asText()),
-        tasks);
+        tasks,
+        List.copyOf(images));
   }
 
   public static ObjectNode types(List<MachineType> types) {
--- a/src/main/java/org/baygw/control/placement/Room.java
+++ b/src/main/java/org/baygw/control/placement/Room.java
@@ -1,5 +1,6 @@
 package org.baygw.control.placement;
 
+import java.util.List;
 import java.util.Map;
 import org.baygw.control.Constants;
 import org.baygw.control.model.Job;
@@ -44,7 +45,9 @@
   /** An empty machine that is on its way or could be rented. */
   public static Room empty(String name, MachineType type, String zone, boolean spot) {
     return new Room(
-        new Machine(name, type.name(), zone, spot, "", Machine.Condition.OK, Map.of()), type);
+        new Machine(
+            name, type.name(), zone, spot, "", Machine.Condition.OK, Map.of(), List.of()),
+        type);
   }
 
   public Machine machine() {
@@ -82,6 +85,25 @@
     return s.typeAllowed(type) && (s.zone() == null || s.zone().equals(zone)) && (s.spot() || !spot);
   }
 
+  /** Gives back what a task takes here. */
+  public void free(JobSpec s) {
+    cpus += s.cpus();
+    gpus += s.gpus();
+    memoryGb += s.memoryGb();
+    tasks--;
+  }
+
+  /**
+   * How well the machine suits, among those that fit. For a service its image comes first, for it
+   * starts at once then; for others the spot machines, which leave the rest to those that need them.
+   * An empty machine is begun last, as in the search.
+   */
+  public int rank(JobSpec s) {
+    int image = machine.images().contains(s.image()) ? 1 : 0;
+    int used = tasks > 0 ? 1 : 0;
+    return s.service() ? image * 2 + used : (s.spot() && machine.spot() ? 4 : 0) + used * 2 + image;
+  }
+
   public void take(JobSpec s) {
     cpus -= s.cpus();
     gpus -= s.gpus();
--- a/src/main/java/org/baygw/control/quota/Desk.java
+++ b/src/main/java/org/baygw/control/quota/Desk.java
@@ -32,7 +32,7 @@
  */
 public final class Desk {
   /** A task that found no room now; zone is null where any will do. */
-  public record Unmet(JobSpec spec, String zone) {}
+  public record Unmet(JobSpec spec, String zone, boolean guaranteed) {}
 
   private static final Logger LOG = LoggerFactory.getLogger(Desk.class);
 
@@ -178,9 +178,147 @@
     for (Queued q : queue) {
       serve(q, rooms, use.get(q.spec().team()), left);
     }
+    preempt(left, use);
     unmet = left;
   }
 
+  /** A task that could be stopped to make room. */
+  private record Victim(TaskId task, JobSpec spec) {}
+
+  /**
+   * Makes room for production jobs and for jobs within their team's guarantee, as the protocol
+   * allows: by stopping work of lower priority, or for a guarantee what another team borrows. What
+   * is covered that way leaves the list, so that nothing is rented for it.
+   */
+  private void preempt(List<Unmet> left, Map<String, Use> use) {
+    Map<Room, List<Victim>> rooms = null;
+    Map<String, List<Victim>> stops = new LinkedHashMap<>();
+    int stopped = 0;
+    for (var it = left.iterator(); it.hasNext() && stopped < Constants.PREEMPT_PER_PASS; ) {
+      Unmet u = it.next();
+      if (u.spec().priority() != JobSpec.Priority.PRODUCTION && !u.guaranteed()) {
+        continue;
+      }
+      if (rooms == null) {
+        rooms = victims();
+      }
+      List<Victim> chosen = null;
+      Room at = null;
+      double least = Double.POSITIVE_INFINITY;
+      for (Map.Entry<Room, List<Victim>> e : rooms.entrySet()) {
+        Room r = e.getKey();
+        if (u.zone() != null && !u.zone().equals(r.machine().zone())) {
+          continue;
+        }
+        List<Victim> need = needed(u, r, e.getValue(), use);
+        if (need != null) {
+          // What stopping costs: tasks that cannot save lose their work.
+          double cost = r.machine().images().contains(u.spec().image()) ? 0 : 0.5;
+          for (Victim v : need) {
+            cost += v.spec().checkpoints() ? 1 : 2;
+          }
+          if (cost < least) {
+            least = cost;
+            chosen = need;
+            at = r;
+          }
+        }
+      }
+      if (chosen == null) {
+        continue;
+      }
+      it.remove();
+      for (Victim v : chosen) {
+        at.free(v.spec());
+        rooms.get(at).remove(v);
+        use.get(v.spec().team()).add(v.spec(), -1);
+        stops.computeIfAbsent(v.task().job(), k -> new ArrayList<>()).add(v);
+        stopped++;
+      }
+      at.take(u.spec());
+    }
+    stops.forEach(this::stop);
+  }
+
+  /** The room that stopping tasks will leave, and what else could be stopped, cheapest first. */
+  private Map<Room, List<Victim>> victims() {
+    Map<Room, List<Victim>> out = new LinkedHashMap<>();
+    for (View.Entry<Machine> e : view.machines.values()) {
+      Machine m = e.value();
+      Room r = Room.of(view, m);
+      if (r == null || m.condition() != Machine.Condition.OK
+          || view.drains.containsKey(m.name()) || membership.owner(m.part()) == null) {
+        continue;
+      }
+      List<Victim> list = new ArrayList<>();
+      for (TaskId t : m.tasks().keySet()) {
+        View.Entry<Job> j = view.jobs.get(t.job());
+        Progress p = view.progress(t.job(), t.index() / Constants.CHUNK_TASKS);
+        Progress.Live l = p == null ? null : p.live.get(t.index());
+        if (j == null || l == null) {
+          continue;
+        }
+        if (l.stop() || !j.value().open()) {
+          r.free(j.value().spec());
+        } else if (!busy.containsKey(t.job())) {
+          list.add(new Victim(t, j.value().spec()));
+        }
+      }
+      list.sort(
+          Comparator.comparing((Victim v) -> v.spec().priority())
+              .reversed()
+              .thenComparing(v -> v.spec().checkpoints() ? 0 : 1)
+              .thenComparing(Victim::task));
+      out.put(r, list);
+    }
+    return out;
+  }
+
+  /** The victims that would make the task fit on the machine; null if none would. */
+  private List<Victim> needed(Unmet u, Room r, List<Victim> list, Map<String, Use> use) {
+    JobSpec s = u.spec();
+    List<Victim> need = new ArrayList<>();
+    Map<String, Double> taken = new HashMap<>();
+    boolean fits = r.fits(s);
+    for (int i = 0; i < list.size() && !fits; i++) {
+      Victim v = list.get(i);
+      String team = v.spec().team();
+      double over =
+          use.get(team).cpus - taken.getOrDefault(team, 0.0) - settings.team(team).cpus();
+      boolean lower = v.spec().priority().compareTo(s.priority()) > 0;
+      boolean borrowed =
+          u.guaranteed() && !team.equals(s.team()) && over >= v.spec().cpus() - Constants.EPS;
+      if (v.spec().priority() != JobSpec.Priority.PRODUCTION && (lower || borrowed)) {
+        need.add(v);
+        taken.merge(team, v.spec().cpus(), Double::sum);
+        r.free(v.spec());
+        fits = r.fits(s);
+      }
+    }
+    need.forEach(v -> r.take(v.spec()));
+    return fits ? need : null;
+  }
+
+  private void stop(String job, List<Victim> victims) {
+    Txn txn = new Txn().when(Keys.claim(Keys.DESK), membership.desk());
+    Map<Integer, Progress> next = new LinkedHashMap<>();
+    for (Victim v : victims) {
+      int chunk = v.task().index() / Constants.CHUNK_TASKS;
+      if (next.containsKey(chunk) || next.size() < settings.state().txnOps()) {
+        Progress p = next.computeIfAbsent(chunk, c -> view.progress(job, c).copy());
+        Progress.Live l = p.live.get(v.task().index());
+        p.live.put(v.task().index(), new Progress.Live(l.attempt(), l.part(), true));
+      }
+    }
+    next.forEach(
+        (c, p) -> {
+          String key = Keys.progress(job, c);
+          txn.when(key, view.stamp(key)).put(key, Records.progress(p));
+        });
+    LOG.info("stop {} tasks of {} to make room", victims.size(), job);
+    write(job, 0, Store.Urgency.GRANT, txn);
+  }
+
   /** How many of its class's aims the job would miss even if it started now. */
   private int late(Job job) {
     double age = (clock.wall() - job.acceptedMs()) / 1000.0;
@@ -253,7 +391,7 @@
             break outer;
           }
           use.add(s, 1); // in thought: what is rented for must also be allowed to run
-          left.add(new Unmet(s, zoneFor(s, zoneLive)));
+          left.add(new Unmet(s, zoneFor(s, zoneLive), q.guaranteed()));
         } else if (next.containsKey(c) || next.size() < settings.state().txnOps() / 2) {
           use.add(s, 1);
           Progress p =
@@ -289,9 +427,9 @@
       for (Room r : e.getValue()) {
         if (r.fits(s)) {
           free += r.tasks() > 0 ? r.freeCpus() : 0;
-          if (rank(s, r) > rank || rank(s, r) == rank && !s.service()) {
+          if (r.rank(s) > rank || r.rank(s) == rank && !s.service()) {
             fit = r;
-            rank = rank(s, r);
+            rank = r.rank(s);
           }
         }
       }
@@ -308,14 +446,6 @@
     return best;
   }
 
-  /**
-   * Tasks that may use spot machines leave the others to those that may not; and no empty machine is
-   * begun while one in use has room, as the search has it too.
-   */
-  private static int rank(JobSpec s, Room r) {
-    return (s.spot() && r.machine().spot() ? 2 : 0) + (r.tasks() > 0 ? 1 : 0);
-  }
-
   private String onlyZone(JobSpec s, int[] zoneLive) {
     if (s.zone() != null) {
       return s.zone();
--- a/src/main/java/org/baygw/control/workers/Agent.java
+++ b/src/main/java/org/baygw/control/workers/Agent.java
@@ -41,7 +41,6 @@
   final Map<TaskId, Long> launched = new HashMap<>();
 
   final Map<TaskId, Long> killed = new HashMap<>();
-  final Set<String> images = new HashSet<>();
   final Set<String> failedJobs = new HashSet<>();
   int errors;
   boolean sick;
--- a/src/main/java/org/baygw/control/workers/Workers.java
+++ b/src/main/java/org/baygw/control/workers/Workers.java
@@ -194,7 +194,7 @@
             this::pending,
             this::ageS,
             this::pinned,
-            (machine, image) -> agents.get(machine).images.contains(image));
+            (machine, image) -> view.machines.get(machine).value().images().contains(image));
     Map<String, Map<TaskId, Integer>> onto = new LinkedHashMap<>();
     placed.forEach(
         (t, machine) -> {
@@ -281,7 +281,6 @@
     if (r.session() > a.session) {
       a.flights.clear(); // commands of an earlier session are refused
       a.killed.clear();
-      a.images.clear();
     }
     boolean trustedBefore = a.trusted();
     a.session = r.session();
@@ -297,12 +296,6 @@
     a.endFlights(checkin);
     a.killed.keySet().retainAll(r.tasks().keySet());
     a.launched.keySet().removeIf(t -> !r.tasks().containsKey(t) && !a.flights.containsKey(t));
-    for (Map.Entry<TaskId, WorkerCodec.Seen> t : r.tasks().entrySet()) {
-      View.Entry<Job> j = view.jobs.get(t.getKey().job());
-      if (j != null && t.getValue().state() != WorkerCodec.State.FETCHING) {
-        a.images.add(j.value().spec().image());
-      }
-    }
   }
 
   private void register(Agent a, WorkerCodec.Report r) {
@@ -311,7 +304,14 @@
     }
     Machine m =
         new Machine(
-            r.machine(), r.type(), r.zone(), r.spot(), r.addr(), Machine.Condition.OK, Map.of());
+            r.machine(),
+            r.type(),
+            r.zone(),
+            r.spot(),
+            r.addr(),
+            Machine.Condition.OK,
+            Map.of(),
+            List.of());
     write(
         a,
         Store.Urgency.LAUNCH,
@@ -496,6 +496,13 @@
       View.Entry<Job> j = view.jobs.get(job);
       if (j != null && j.value().open() && j.value().chunks() == 1
           && n.getValue().done.cardinality() == j.value().spec().tasks()) {
+        LOG.debug(
+            "{} ({}) is done after {} ms, {} tasks of {} s estimated",
+            job,
+            j.value().spec().jobClass(),
+            clock.wall() - j.value().acceptedMs(),
+            j.value().spec().tasks(),
+            j.value().spec().estimateS());
         // The last task: the job is done in the same write, and needs no progress any more.
         txn.when(Keys.job(job), j.stamp())
             .put(Keys.job(job), Records.job(j.value().with(Job.State.DONE)))
@@ -503,7 +510,6 @@
       } else {
         txn.put(n.getKey(), Records.progress(n.getValue()));
       }
-      LOG.debug("settle {} chunk {} on {}", job, chunk, m.name());
     }
     if (drain != null && left.isEmpty()) {
       txn.delete(Keys.machine(m.name()))
@@ -794,8 +800,8 @@
   }
 
   /**
-   * Spot machines first for those that may use them, then machines in use, then those that have the
-   * image; then the oldest for services, which stay, and the newest for arrays, which soon leave.
+   * The best suited machine; among equals the oldest for services, which stay, and the newest for
+   * arrays, which soon leave.
    */
   private Room firstFit(List<Room> rooms, JobSpec s) {
     Backoff b = backoffs.get(s.id());
@@ -812,10 +818,7 @@
       if (b != null && b.machines.getOrDefault(a.name, 0L) > clock.now()) {
         continue;
       }
-      int score =
-          (r.machine().spot() ? 4 : 0)
-              + (r.tasks() > 0 ? 2 : 0)
-              + (a.images.contains(s.image()) ? 1 : 0);
+      int score = r.rank(s);
       if (score > bestScore || score == bestScore && !s.service()) {
         best = r;
         bestScore = score;
@@ -850,7 +853,11 @@
       // The grant must still stand, and the job must not have been cancelled.
       txn.when(chunk, view.stamp(chunk)).when(Keys.job(t.job()), view.stamp(Keys.job(t.job())));
     }
-    txn.put(Keys.machine(m.name()), Records.machine(m.withTasks(all)));
+    Machine next = m.withTasks(all);
+    for (TaskId t : tasks.keySet()) {
+      next = next.withImage(view.jobs.get(t.job()).value().spec().image());
+    }
+    txn.put(Keys.machine(m.name()), Records.machine(next));
     placing.addAll(tasks.keySet());
     write(
         a,
