--- a/src/main/java/org/baygw/control/quota/Desk.java
+++ b/src/main/java/org/baygw/control/quota/Desk.java
@@ -285,9 +285,12 @@
       String team = v.spec().team();
       double over =
           use.get(team).cpus - taken.getOrDefault(team, 0.0) - settings.team(team).cpus();
-      boolean lower = v.spec().priority().compareTo(s.priority()) > 0;
+      boolean lower =
+          v.spec().priority().compareTo(s.priority()) > 0
+              && (s.priority() == JobSpec.Priority.PRODUCTION || v.spec().checkpoints());
+      // Teams would take turns at stopping each other's tasks: for a guarantee only such as can save.
       boolean borrowed =
-          u.guaranteed() && !team.equals(s.team()) && over >= v.spec().cpus() - Constants.EPS;
+          u.guaranteed() && v.spec().checkpoints() && !team.equals(s.team()) && over >= v.spec().cpus() - Constants.EPS;
       if (v.spec().priority() != JobSpec.Priority.PRODUCTION && (lower || borrowed)) {
         need.add(v);
         taken.merge(team, v.spec().cpus(), Double::sum);
