--- a/src/main/java/org/baygw/control/quota/Desk.java
+++ b/src/main/java/org/baygw/control/quota/Desk.java
@@ -196,7 +196,7 @@
     int stopped = 0;
     for (var it = left.iterator(); it.hasNext() && stopped < Constants.PREEMPT_PER_PASS; ) {
       Unmet u = it.next();
-      if (u.spec().priority() != JobSpec.Priority.PRODUCTION && !u.guaranteed()) {
+      if (u.spec().priority() != JobSpec.Priority.PRODUCTION) {
         continue;
       }
       if (rooms == null) {
