--- a/src/main/java/org/baygw/control/Constants.java
+++ b/src/main/java/org/baygw/control/Constants.java
@@ -149,6 +149,12 @@
   /** ms after which a planned move that did not come about is dropped. */
   public static final long MOVE_PLAN_MS = 15_000;
 
+  /**
+   * ms a job within its team's guarantee waits before borrowed room is taken back for it: tasks last
+   * a minute, so most room comes free sooner, and without a wait teams take turns at stopping tasks.
+   */
+  public static final long RECLAIM_MS = 30_000;
+
   /** Tasks the desk may stop in one pass to make room. */
   public static final int PREEMPT_PER_PASS = 16;
 
--- a/src/main/java/org/baygw/control/quota/Desk.java
+++ b/src/main/java/org/baygw/control/quota/Desk.java
@@ -3,9 +3,11 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
 import org.baygw.control.Constants;
 import org.baygw.control.config.Settings;
@@ -32,7 +34,7 @@
  */
 public final class Desk {
   /** A task that found no room now; zone is null where any will do. */
-  public record Unmet(JobSpec spec, String zone, boolean guaranteed) {}
+  public record Unmet(JobSpec spec, String zone, boolean reclaims) {}
 
   private static final Logger LOG = LoggerFactory.getLogger(Desk.class);
 
@@ -45,6 +47,9 @@
   /** Jobs with a write under way, and the grants it would make: they count until it is certain. */
   private final Map<String, Integer> busy = new HashMap<>();
 
+  /** Unfinished jobs that fit into their team's guarantee together with its earlier ones. */
+  private final Set<String> guaranteed = new HashSet<>();
+
   private List<Unmet> unmet = List.of();
   private long nextPass;
   private long seenChanges = -1;
@@ -66,6 +71,7 @@
       JobSpec spec,
       long stamp,
       boolean guaranteed,
+      boolean reclaims,
       int late,
       double work,
       int pending,
@@ -104,6 +110,7 @@
       use.put(t.name(), new Use());
     }
     Map<String, Double> demand = new HashMap<>();
+    guaranteed.clear();
     List<Queued> queue = new ArrayList<>();
     for (Map.Entry<String, View.Entry<Job>> e : view.jobs.entrySet()) {
       String id = e.getKey();
@@ -150,6 +157,9 @@
       double sum =
           demand.merge(
               team.name(), (job.spec().tasks() - done) * job.spec().cpus(), Double::sum);
+      if (sum <= team.cpus() + Constants.EPS) {
+        guaranteed.add(id);
+      }
       int pending = job.spec().tasks() - done - live;
       if (pending > 0 && !busy.containsKey(id)) {
         queue.add(
@@ -157,7 +167,9 @@
                 id,
                 job.spec(),
                 e.getValue().stamp(),
-                sum <= team.cpus() + Constants.EPS,
+                guaranteed.contains(id),
+                guaranteed.contains(id)
+                    && clock.wall() - job.acceptedMs() > Constants.RECLAIM_MS,
                 late(job),
                 (job.spec().tasks() - done) * job.spec().cpus() * job.spec().estimateS(),
                 pending,
@@ -196,7 +208,7 @@
     int stopped = 0;
     for (var it = left.iterator(); it.hasNext() && stopped < Constants.PREEMPT_PER_PASS; ) {
       Unmet u = it.next();
-      if (u.spec().priority() != JobSpec.Priority.PRODUCTION) {
+      if (u.spec().priority() != JobSpec.Priority.PRODUCTION && !u.reclaims()) {
         continue;
       }
       if (rooms == null) {
@@ -286,12 +298,11 @@
       double over =
           use.get(team).cpus - taken.getOrDefault(team, 0.0) - settings.team(team).cpus();
       boolean lower =
-          v.spec().priority().compareTo(s.priority()) > 0
-              && (s.priority() == JobSpec.Priority.PRODUCTION || v.spec().checkpoints());
-      // Teams would take turns at stopping each other's tasks: for a guarantee only such as can save.
+          s.priority() == JobSpec.Priority.PRODUCTION
+              && v.spec().priority() != JobSpec.Priority.PRODUCTION;
       boolean borrowed =
-          u.guaranteed() && v.spec().checkpoints() && !team.equals(s.team()) && over >= v.spec().cpus() - Constants.EPS;
-      if (v.spec().priority() != JobSpec.Priority.PRODUCTION && (lower || borrowed)) {
+          u.reclaims() && !guaranteed.contains(v.task().job()) && !team.equals(s.team()) && over >= v.spec().cpus() - Constants.EPS;
+      if (lower || borrowed && v.spec().priority() != JobSpec.Priority.PRODUCTION) {
         need.add(v);
         taken.merge(team, v.spec().cpus(), Double::sum);
         r.free(v.spec());
@@ -394,7 +405,7 @@
             break outer;
           }
           use.add(s, 1); // in thought: what is rented for must also be allowed to run
-          left.add(new Unmet(s, zoneFor(s, zoneLive), q.guaranteed()));
+          left.add(new Unmet(s, zoneFor(s, zoneLive), q.reclaims()));
         } else if (next.containsKey(c) || next.size() < settings.state().txnOps() / 2) {
           use.add(s, 1);
           Progress p =
