--- a/src/main/java/org/baygw/control/quota/Desk.java
+++ b/src/main/java/org/baygw/control/quota/Desk.java
@@ -169,6 +169,7 @@
                 e.getValue().stamp(),
                 guaranteed.contains(id),
                 guaranteed.contains(id)
+                    && live + done == 0
                     && clock.wall() - job.acceptedMs() > Constants.RECLAIM_MS,
                 late(job),
                 (job.spec().tasks() - done) * job.spec().cpus() * job.spec().estimateS(),
@@ -179,6 +180,8 @@
     queue.sort(
         Comparator.comparing(
                 (Queued q) -> q.spec().priority() == JobSpec.Priority.PRODUCTION ? 0 : 1)
+            // First what stopped others, or the room would go to the next in line and be taken again.
+            .thenComparing(q -> q.reclaims() ? 0 : 1)
             .thenComparing(q -> q.guaranteed() ? 0 : 1)
             // More jobs are in time if those that can no longer be, and the long ones, let others pass.
             .thenComparing(Queued::late)
