--- a/src/main/java/org/baygw/control/Constants.java
+++ b/src/main/java/org/baygw/control/Constants.java
@@ -153,7 +153,7 @@
    * ms a job within its team's guarantee waits before borrowed room is taken back for it: tasks last
    * a minute, so most room comes free sooner, and without a wait teams take turns at stopping tasks.
    */
-  public static final long RECLAIM_MS = 30_000;
+  public static final long RECLAIM_MS = 45_000;
 
   /** Tasks the desk may stop in one pass to make room. */
   public static final int PREEMPT_PER_PASS = 16;
--- a/src/main/java/org/baygw/control/quota/Desk.java
+++ b/src/main/java/org/baygw/control/quota/Desk.java
@@ -198,7 +198,7 @@
   }
 
   /** A task that could be stopped to make room. */
-  private record Victim(TaskId task, JobSpec spec) {}
+  private record Victim(TaskId task, JobSpec spec, long stamp) {}
 
   /**
    * Makes room for production jobs and for jobs within their team's guarantee, as the protocol
@@ -276,13 +276,15 @@
         if (l.stop() || !j.value().open()) {
           r.free(j.value().spec());
         } else if (!busy.containsKey(t.job())) {
-          list.add(new Victim(t, j.value().spec()));
+          list.add(new Victim(t, j.value().spec(), j.stamp()));
         }
       }
       list.sort(
           Comparator.comparing((Victim v) -> v.spec().priority())
               .reversed()
               .thenComparing(v -> v.spec().checkpoints() ? 0 : 1)
+              // The newest job has run least, so it loses least.
+              .thenComparing(Comparator.comparing(Victim::stamp).reversed())
               .thenComparing(Victim::task));
       out.put(r, list);
     }
