Ask quiet workers, and show them a new owner's token at once

Cause: a dead machine was given up after 10.5 s (3.5 reports), and after a takeover workers took up to 6 s to find their new owner.

--- a/src/main/java/org/baygw/control/Constants.java
+++ b/src/main/java/org/baygw/control/Constants.java
@@ -77,8 +77,14 @@
   /** ms added to a lease before it is held to have run out. */
   public static final long LEASE_MARGIN_MS = 500;
 
-  /** Report periods of silence after which a machine is given up and returned to the cloud. */
-  public static final double LOST_REPORTS = 3.5;
+  /** Report periods of silence after which a worker is asked: a period is at most 1.25 of them. */
+  public static final double ASK_REPORTS = 1.6;
+
+  /** Report periods of silence after which a machine that did not answer is given up and returned. */
+  public static final double LOST_REPORTS = 2.3;
+
+  /** ms for a worker's answer when it is asked whether it is there. */
+  public static final int SHOW_TIMEOUT_MS = 1_500;
 
   /** Share of a part owner's machines silent at once that points at us or the network, not at them. */
   public static final double LOST_SHARE_MAX = 0.6;
--- a/src/main/java/org/baygw/control/workers/Agent.java
+++ b/src/main/java/org/baygw/control/workers/Agent.java
@@ -49,6 +49,12 @@
   boolean busy;
 
   boolean directBusy;
+
+  /** A question to the worker is under way, or was not answered since it was last heard. */
+  boolean asking;
+
+  boolean unanswered;
+  long nextAsk;
   boolean leaseOver;
 
   Agent(String name, long claim, long now) {
--- a/src/main/java/org/baygw/control/workers/Workers.java
+++ b/src/main/java/org/baygw/control/workers/Workers.java
@@ -270,10 +270,41 @@
 
   private boolean silent(Agent a) {
     double reports = Constants.LOST_REPORTS * settings.workers().reportS() * 1000;
-    // After a takeover a worker first waits for its old owner's answer and then finds its way here.
-    return a.lastHeard > 0
-        ? clock.now() - a.lastHeard > reports
-        : clock.now() - a.since > reports + 6_000;
+    return a.unanswered && clock.now() - Math.max(a.lastHeard, a.since) > reports;
+  }
+
+  /**
+   * Asks a worker that has gone quiet, and one that has not seen this claim's token: after a takeover
+   * it may wait seconds for its former owner, and until it has seen the token nothing here is proved.
+   */
+  private void ask(Agent a) {
+    long now = clock.now();
+    boolean quiet =
+        now - Math.max(a.lastHeard, a.since)
+            > Constants.ASK_REPORTS * settings.workers().reportS() * 1000;
+    if (a.asking || a.directBusy || a.addr.isEmpty() || now < a.nextAsk
+        || !quiet && (a.trusted() || a.lastHeard > 0)) {
+      return;
+    }
+    a.asking = true;
+    a.nextAsk = now + (long) (settings.workers().reportS() * 500);
+    out.call(
+        a.addr,
+        "GET",
+        "/show",
+        null,
+        Constants.SHOW_TIMEOUT_MS,
+        (status, body) -> {
+          a.asking = false;
+          if (status != 200) {
+            a.unanswered = true;
+            return;
+          }
+          answered(a, List.of(), status, body);
+          if (!a.trusted() && agents.get(a.name) == a && a.session > 0) {
+            direct(a, List.of());
+          }
+        });
   }
 
   /** Takes in a report, from wherever it came. */
@@ -289,6 +320,7 @@
     a.addr = r.addr();
     a.seen = r.tasks();
     a.lastHeard = clock.now();
+    a.unanswered = false;
     if (a.trusted() && !trustedBefore) {
       a.lastAnswered = clock.now(); // until now a former owner may have answered
     }
@@ -385,6 +417,7 @@
               .put(Keys.machine(m.name()), Records.machine(m.with(want))));
       return;
     }
+    ask(a);
     if (settleEnded(a, e)) {
       return;
     }
@@ -652,9 +685,12 @@
       return;
     }
     List<WorkerCodec.Order> orders = orders(a, e, false);
-    if (orders.isEmpty()) {
-      return;
+    if (!orders.isEmpty()) {
+      direct(a, orders);
     }
+  }
+
+  private void direct(Agent a, List<WorkerCodec.Order> orders) {
     long token = a.token();
     List<TaskId> launched = new ArrayList<>();
     for (WorkerCodec.Order o : orders) {
