Add the administration API, metrics and Avro statuses between controllers

A controller that the state service refuses alone tells the load balancer so (/up 503), known from its peers' statuses. The self-check ends its loop before the program ends: the class list was cut short once.

--- a/src/main/java/org/baygw/control/Constants.java
+++ b/src/main/java/org/baygw/control/Constants.java
@@ -29,6 +29,18 @@
   /** ms between tries for a claim that another controller may be taking at the same moment. */
   public static final long CLAIM_RETRY_MS = 300;
 
+  /** ms between two statuses sent to the other controllers. */
+  public static final long PEER_MS = 1_500;
+
+  /** ms without the state service before a controller asks itself whether it alone is refused. */
+  public static final long ALONE_MS = 3_000;
+
+  /** Significant digits of histograms: 1% is enough for latencies and keeps them small. */
+  public static final int HISTOGRAM_DIGITS = 2;
+
+  /** ms. Highest value a histogram holds: an hour. */
+  public static final long HISTOGRAM_MAX_MS = 3_600_000;
+
   /** ms a watch stays open at the state service; also bounds how long a dead connection is unseen. */
   public static final long WATCH_WAIT_MS = 8_000;
 
--- a/src/main/java/org/baygw/control/Controller.java
+++ b/src/main/java/org/baygw/control/Controller.java
@@ -1,6 +1,7 @@
 package org.baygw.control;
 
 import java.util.List;
+import org.baygw.control.admin.Admin;
 import org.baygw.control.cloud.Cloud;
 import org.baygw.control.config.Settings;
 import org.baygw.control.core.Clock;
@@ -9,6 +10,7 @@
 import org.baygw.control.fleet.Fleet;
 import org.baygw.control.jobs.Jobs;
 import org.baygw.control.membership.Membership;
+import org.baygw.control.membership.Peers;
 import org.baygw.control.quota.Desk;
 import org.baygw.control.store.Store;
 import org.baygw.control.store.View;
@@ -24,19 +26,24 @@
   private final View view = new View();
   private final Store store;
   private final Membership membership;
+  private final Peers peers;
   private final Jobs jobs;
   private final Workers workers;
   private final Desk desk;
   private final Fleet fleet;
+  private final Admin admin;
 
   public Controller(Settings settings) {
     this.store = new Store(clock, out, settings, view);
     this.membership = new Membership(clock, settings, store, view);
-    this.jobs = new Jobs(clock, out, settings, store, view);
+    this.peers = new Peers(clock, out, settings, store, view);
+    this.jobs = new Jobs(clock, out, settings, store, view, peers);
     this.workers = new Workers(clock, out, settings, store, view, membership);
     this.desk = new Desk(clock, settings, store, view, membership);
     Cloud cloud = new Cloud(clock, out, settings);
     this.fleet = new Fleet(clock, settings, store, view, membership, cloud, desk);
+    this.admin =
+        new Admin(clock, out, settings, store, view, membership, workers, desk);
   }
 
   /** A request on the users' and workers' side. */
@@ -55,6 +62,18 @@
     return out.drain();
   }
 
+  /** A request on the operators' and controllers' side. */
+  public List<Outbox.Effect> peerRequest(
+      long nowMs, long wallMs, long id, String method, String path, byte[] body) {
+    clock.set(nowMs, wallMs);
+    if (path.equals(Peers.PATH) && method.equals("POST")) {
+      peers.receive(id, body);
+    } else if (!admin.handle(id, method, path, body)) {
+      out.answer(id, 404, Json.bytes(Json.object().put("error", "no such path")));
+    }
+    return out.drain();
+  }
+
   /** The outcome of a call that this core asked for. */
   public List<Outbox.Effect> outcome(
       long nowMs, long wallMs, Outbox.Callback then, int status, byte[] body) {
@@ -74,6 +93,7 @@
   private void step() {
     store.tick();
     membership.tick();
+    peers.tick();
     desk.tick();
     workers.tick();
     workers.round();
--- /dev/null
+++ b/src/main/java/org/baygw/control/admin/Meters.java
@@ -0,0 +1,47 @@
+package org.baygw.control.admin;
+
+import io.micrometer.core.instrument.FunctionCounter;
+import io.micrometer.core.instrument.Gauge;
+import io.micrometer.core.instrument.binder.jvm.JvmMemoryMetrics;
+import io.micrometer.prometheusmetrics.PrometheusConfig;
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import java.util.function.ToDoubleFunction;
+import org.HdrHistogram.Histogram;
+
+/**
+ * The metrics page. The slices count in plain fields; the registry reads them. It is made at the first
+ * request for the page, because its classes would slow every start.
+ */
+final class Meters {
+  private static final double[] PERCENTILES = {50, 90, 99, 100};
+
+  private final PrometheusMeterRegistry registry =
+      new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
+
+  Meters() {
+    new JvmMemoryMetrics().bindTo(registry);
+  }
+
+  <T> void counter(String name, String help, T of, ToDoubleFunction<T> value) {
+    FunctionCounter.builder(name, of, value).description(help).register(registry);
+  }
+
+  <T> void gauge(String name, String help, T of, ToDoubleFunction<T> value) {
+    Gauge.builder(name, of, value).description(help).register(registry);
+  }
+
+  /** Percentiles of a histogram in milliseconds. */
+  void histogram(String name, String help, Histogram h) {
+    for (double p : PERCENTILES) {
+      Gauge.builder(name, h, x -> x.getValueAtPercentile(p))
+          .description(help)
+          .tag("percentile", String.valueOf(p))
+          .register(registry);
+    }
+    counter(name + ".count", help, h, Histogram::getTotalCount);
+  }
+
+  String page() {
+    return registry.scrape();
+  }
+}
--- a/src/main/java/org/baygw/control/fleet/Fleet.java
+++ b/src/main/java/org/baygw/control/fleet/Fleet.java
@@ -395,8 +395,9 @@
       }
       long since = emptySince.computeIfAbsent(m.name(), k -> now);
       MachineType type = view.type(m.type());
-      double keep = type == null ? 0 : type.bootS() * 1000 * Constants.IDLE_BOOTS;
-      if (now - since > keep && desk.unmet().isEmpty()) {
+      boolean leaving = m.condition() != Machine.Condition.OK;
+      double keep = type == null || leaving ? 0 : type.bootS() * 1000 * Constants.IDLE_BOOTS;
+      if (now - since >= keep && (leaving || desk.unmet().isEmpty())) {
         drain(m.name(), e.stamp());
       }
     }
@@ -431,7 +432,8 @@
             new Txn()
                 .when(Keys.claim(Keys.DESK), claim)
                 .when(Keys.drain(e.getKey()), e.getValue().stamp())
-                .delete(Keys.drain(e.getKey())),
+                .delete(Keys.drain(e.getKey()))
+                .delete(Keys.cordon(e.getKey())),
             Constants.STATE_TIMEOUT_MS,
             ok -> draining.remove(e.getKey()));
       }
--- a/src/main/java/org/baygw/control/jobs/Jobs.java
+++ b/src/main/java/org/baygw/control/jobs/Jobs.java
@@ -8,6 +8,7 @@
 import org.baygw.control.core.Clock;
 import org.baygw.control.core.Json;
 import org.baygw.control.core.Outbox;
+import org.baygw.control.membership.Peers;
 import org.baygw.control.model.Job;
 import org.baygw.control.model.JobSpec;
 import org.baygw.control.model.MachineType;
@@ -31,9 +32,12 @@
   private final Settings settings;
   private final Store store;
   private final View view;
+  private final Peers peers;
   private int waiting;
 
-  public Jobs(Clock clock, Outbox out, Settings settings, Store store, View view) {
+  public Jobs(
+      Clock clock, Outbox out, Settings settings, Store store, View view, Peers peers) {
+    this.peers = peers;
     this.clock = clock;
     this.out = out;
     this.settings = settings;
@@ -43,7 +47,8 @@
 
   /** Whether this controller can take requests. */
   public boolean ready() {
-    return store.loaded();
+    // Users are better served elsewhere while the state service refuses this controller alone.
+    return store.loaded() && !peers.refusedAlone();
   }
 
   /** Handles a request if it is one of ours. */
--- a/src/main/java/org/baygw/control/net/SelfCheck.java
+++ b/src/main/java/org/baygw/control/net/SelfCheck.java
@@ -5,13 +5,11 @@
 import com.sun.net.httpserver.HttpExchange;
 import com.sun.net.httpserver.HttpServer;
 import java.io.IOException;
+import java.net.HttpURLConnection;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.URI;
-import java.net.http.HttpClient;
-import java.net.http.HttpRequest;
-import java.net.http.HttpResponse;
 import java.nio.charset.StandardCharsets;
 import org.baygw.control.config.Settings;
 import org.baygw.control.config.SettingsReader;
@@ -25,7 +23,6 @@
   private static final int TRIES = 100;
   private static final int PAUSE_MS = 50;
 
-  private final HttpClient user = HttpClient.newHttpClient();
   private final String base;
   private long revision;
 
@@ -90,12 +87,16 @@
     return status == 200 && reported == 200 && accepted == 201 && polled == 200 && aborted == 200;
   }
 
-  private int ask(String method, String path, String body) throws Exception {
-    HttpRequest r =
-        HttpRequest.newBuilder(URI.create(base + path))
-            .method(method, HttpRequest.BodyPublishers.ofString(body))
-            .build();
-    return user.send(r, HttpResponse.BodyHandlers.ofString()).statusCode();
+  private int ask(String method, String path, String body) throws IOException {
+    HttpURLConnection c = (HttpURLConnection) URI.create(base + path).toURL().openConnection();
+    c.setRequestMethod(method);
+    if (!body.isEmpty()) {
+      c.setDoOutput(true);
+      c.getOutputStream().write(body.getBytes(StandardCharsets.UTF_8));
+    }
+    int status = c.getResponseCode();
+    c.disconnect();
+    return status;
   }
 
   /** The state service and the cloud in one: every condition holds, and nothing else ever changes. */
--- a/src/main/java/org/baygw/control/net/Shell.java
+++ b/src/main/java/org/baygw/control/net/Shell.java
@@ -56,7 +56,8 @@
 
   /** Listens and runs; returns once the socket for users and workers is open. */
   public void start() throws InterruptedException {
-    bind(settings.listen());
+    bind(settings.listen(), core::request);
+    bind(settings.peerListen(), core::peerRequest);
     loop.next()
         .scheduleWithFixedDelay(
             () -> safely(() -> run(core.tick(now(), wall()))),
@@ -65,11 +66,18 @@
             TimeUnit.MILLISECONDS);
   }
 
+  /** Ends the event loop and waits for it, so that nothing runs when the program ends. */
   public void stop() {
-    loop.shutdownGracefully(0, 100, TimeUnit.MILLISECONDS);
+    loop.shutdownGracefully(0, 100, TimeUnit.MILLISECONDS).syncUninterruptibly();
   }
 
-  private void bind(Settings.Endpoint at) throws InterruptedException {
+  /** Where the core takes requests of one socket. */
+  private interface Entry {
+    List<Outbox.Effect> request(
+        long nowMs, long wallMs, long id, String method, String path, byte[] body);
+  }
+
+  private void bind(Settings.Endpoint at, Entry entry) throws InterruptedException {
     new ServerBootstrap()
         .group(loop)
         .channel(NioServerSocketChannel.class)
@@ -82,7 +90,7 @@
                 ch.pipeline()
                     .addLast(new HttpServerCodec())
                     .addLast(new HttpObjectAggregator(Constants.MAX_BODY + 1))
-                    .addLast(new Requests());
+                    .addLast(new Requests(entry));
               }
             })
         .bind(at.host(), at.port())
@@ -144,6 +152,12 @@
   }
 
   private final class Requests extends SimpleChannelInboundHandler<FullHttpRequest> {
+    private final Entry entry;
+
+    Requests(Entry entry) {
+      this.entry = entry;
+    }
+
     @Override
     protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest r) {
       long id = ++requests;
@@ -157,7 +171,7 @@
         answer(new Outbox.Answer(id, 400, "{\"error\":\"malformed\"}".getBytes(), 0));
         return;
       }
-      safely(() -> run(core.request(now(), wall(), id, r.method().name(), path, body)));
+      safely(() -> run(entry.request(now(), wall(), id, r.method().name(), path, body)));
     }
 
     @Override
--- a/src/main/java/org/baygw/control/store/Keys.java
+++ b/src/main/java/org/baygw/control/store/Keys.java
@@ -35,5 +35,10 @@
     return ROOT + "drain/" + machine;
   }
 
+  /** An operator wants the machine emptied and returned. */
+  public static String cordon(String machine) {
+    return ROOT + "cordon/" + machine;
+  }
+
   private Keys() {}
 }
--- a/src/main/java/org/baygw/control/store/Store.java
+++ b/src/main/java/org/baygw/control/store/Store.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Set;
 import java.util.function.Consumer;
+import org.HdrHistogram.Histogram;
 import org.baygw.control.Constants;
 import org.baygw.control.config.Settings;
 import org.baygw.control.core.Clock;
@@ -63,6 +64,8 @@
   private final TokenBucket writes;
   private final List<Deque<Waiting>> queues = new ArrayList<>();
 
+  private final Histogram writeMs =
+      new Histogram(Constants.HISTOGRAM_MAX_MS, Constants.HISTOGRAM_DIGITS);
   private boolean loaded;
   private boolean loading;
   private boolean watching;
@@ -96,6 +99,11 @@
     return lastContact;
   }
 
+  /** How long conditional writes took, with their wait for tokens. */
+  public Histogram writeMs() {
+    return writeMs;
+  }
+
   public void tick() {
     long now = clock.now();
     if (!loaded) {
@@ -117,6 +125,7 @@
   /** Sends a conditional write; it is refused if no token comes free within waitMs. */
   public void txn(Urgency u, Txn t, long waitMs, Consumer<Outcome> then) {
     byte[] body = Json.bytes(t.toJson());
+    long asked = clock.now();
     request(
         u,
         "POST",
@@ -126,6 +135,7 @@
         waitMs,
         Constants.STATE_TIMEOUT_MS,
         (status, answer) -> {
+          writeMs.recordValue(Math.min(clock.now() - asked, Constants.HISTOGRAM_MAX_MS));
           if (status == 200) {
             long rev = Json.parse(answer).path("ledgerRev").asLong();
             // Our own change is known at once; the watch brings it again later, with the same stamp.
--- a/src/main/java/org/baygw/control/store/View.java
+++ b/src/main/java/org/baygw/control/store/View.java
@@ -54,6 +54,7 @@
   public final TreeMap<String, Entry<Member>> members = new TreeMap<>();
   public final TreeMap<String, Entry<Rental>> rentals = new TreeMap<>();
   public final TreeMap<String, Entry<Drain>> drains = new TreeMap<>();
+  public final Set<String> cordons = new HashSet<>();
   public List<MachineType> types = List.of();
   public Params params = Params.DEFAULTS;
 
@@ -214,6 +215,13 @@
         set(drains, id, v == null ? null : new Drain(v.path("gone").asBoolean()), stamp);
         changedMachines.add(id);
       }
+      case "cordon" -> {
+        if (v == null) {
+          cordons.remove(id);
+        } else {
+          cordons.add(id);
+        }
+      }
       case "types" -> types = v == null ? List.of() : Records.types(v);
       case "params" -> params = v == null ? Params.DEFAULTS : Params.DEFAULTS.with(v);
       default -> LOG.debug("unknown key {}", key);
--- a/src/main/java/org/baygw/control/workers/Rounds.java
+++ b/src/main/java/org/baygw/control/workers/Rounds.java
@@ -22,7 +22,7 @@
  * The design's rounds over the machines of this controller: sets a search up, lets it run a few nodes
  * at a time, and keeps the moves it asked for until they are made or out of date.
  */
-final class Rounds {
+public final class Rounds {
   /** Age of a task that this owner launched. */
   interface Age {
     double ageS(String machine, TaskId t);
@@ -52,15 +52,18 @@
   private long found;
   private long planned;
 
-  long searched() {
+  /** Rounds searched so far. */
+  public long searched() {
     return searched;
   }
 
-  long found() {
+  /** Rounds that found something better. */
+  public long found() {
     return found;
   }
 
-  long planned() {
+  /** Moves planned. */
+  public long planned() {
     return planned;
   }
 
--- a/src/main/java/org/baygw/control/workers/Workers.java
+++ b/src/main/java/org/baygw/control/workers/Workers.java
@@ -1,7 +1,6 @@
 package org.baygw.control.workers;
 
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
@@ -11,6 +10,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
+import org.HdrHistogram.Histogram;
 import org.baygw.control.Constants;
 import org.baygw.control.config.Settings;
 import org.baygw.control.core.Clock;
@@ -59,6 +59,8 @@
   private final Set<String> buried = new HashSet<>();
 
   private final Rounds rounds = new Rounds();
+  private final Histogram launchMs =
+      new Histogram(Constants.HISTOGRAM_MAX_MS, Constants.HISTOGRAM_DIGITS);
 
   private final Set<TaskId> placing = new HashSet<>();
   private final Map<TaskId, Long> unplacedSince = new HashMap<>();
@@ -131,7 +133,7 @@
       for (WorkerCodec.Order o : orders) {
         if (o.verb() == WorkerCodec.Verb.LAUNCH) {
           a.flight(o.task()).replyTick = r.tick();
-          a.launched.put(o.task(), clock.now());
+          launched(a, o.task());
         }
       }
     }
@@ -180,6 +182,15 @@
     place();
   }
 
+  public Rounds rounds() {
+    return rounds;
+  }
+
+  /** Time from a job's acceptance to each first launch of its tasks here. */
+  public Histogram launchMs() {
+    return launchMs;
+  }
+
   /** The design's rounds, a few steps at a time. */
   public void round() {
     if (!store.loaded()) {
@@ -252,6 +263,14 @@
     return s == null || s.state() != WorkerCodec.State.RUNNING;
   }
 
+  private void launched(Agent a, TaskId t) {
+    View.Entry<Job> j = view.jobs.get(t.job());
+    if (a.launched.put(t, clock.now()) == null && j != null) {
+      long waited = Math.max(0, clock.wall() - j.value().acceptedMs());
+      launchMs.recordValue(Math.min(waited, Constants.HISTOGRAM_MAX_MS));
+    }
+  }
+
   private boolean owns(Agent a) {
     View.Entry<Machine> m = view.machines.get(a.name);
     return m != null && membership.owned(m.value().part()) == a.claim
@@ -400,7 +419,7 @@
     Machine.Condition want = m.condition();
     if (lost || a.sick) {
       want = Machine.Condition.GIVE_UP;
-    } else if (a.noticeUntil > 0) {
+    } else if (a.noticeUntil > 0 || view.cordons.contains(m.name())) {
       want = Machine.Condition.LEAVING;
     } else if (a.lastHeard > 0) {
       want = Machine.Condition.OK;
@@ -672,7 +691,11 @@
     if (rounds.target(t, m.name()) != null && s.state() == WorkerCodec.State.RUNNING) {
       return spec.checkpoints() ? spec.saveS() * 2 + 1 : 0;
     }
-    if (a.noticeUntil > 0 && spec.checkpoints() && s.state() != WorkerCodec.State.SAVING) {
+    if (view.cordons.contains(m.name()) && spec.service()) {
+      return 0.0; // an operator's drain: replicas go elsewhere at once, other tasks may finish
+    }
+    boolean leaving = a.noticeUntil > 0 || view.cordons.contains(m.name());
+    if (leaving && spec.checkpoints() && s.state() != WorkerCodec.State.SAVING) {
       return spec.saveS() * 2 + 1; // the notice: save while there is time
     }
     return null;
@@ -718,7 +741,7 @@
     if (certain) {
       for (TaskId t : launched) {
         Agent.Flight f = a.flights.get(t);
-        a.launched.put(t, clock.now());
+        launched(a, t);
         if (f != null) {
           f.directToken = 0;
           if (f.over()) {
@@ -941,16 +964,4 @@
   private boolean placing(TaskId t) {
     return view.places.containsKey(t) || placing.contains(t);
   }
-
-  /** For operators: what is known of each machine here. */
-  public ObjectNode describe() {
-    ObjectNode n = Json.object();
-    for (Agent a : agents.values()) {
-      n.putObject(a.name)
-          .put("trusted", a.trusted())
-          .put("heard_ms_ago", clock.now() - a.lastHeard)
-          .put("tasks", a.seen.size());
-    }
-    return n;
-  }
 }
--- a/src/test/java/org/baygw/control/sim/World.java
+++ b/src/test/java/org/baygw/control/sim/World.java
@@ -94,10 +94,14 @@
       life++;
     }
 
-    void receive(String method, String path, byte[] body, FakeState.Respond respond) {
+    void receive(
+        boolean peer, String method, String path, byte[] body, FakeState.Respond respond) {
       long id = ++requests;
       pending.put(id, respond);
-      carryOut(core.request(now, now, id, method, path, body));
+      carryOut(
+          peer
+              ? core.peerRequest(now, now, id, method, path, body)
+              : core.request(now, now, id, method, path, body));
     }
 
     private void carryOut(List<Outbox.Effect> effects) {
@@ -233,6 +237,7 @@
             arrive(
                 from,
                 to,
+                addr.endsWith(":8081"),
                 method,
                 path,
                 body,
@@ -247,8 +252,15 @@
   }
 
   private void arrive(
-      String from, String to, String method, String path, byte[] body, FakeState.Respond respond) {
-    JsonNode n = body == null || body.length == 0 ? Json.object() : Json.parse(body);
+      String from,
+      String to,
+      boolean peer,
+      String method,
+      String path,
+      byte[] body,
+      FakeState.Respond respond) {
+    JsonNode n =
+        peer || body == null || body.length == 0 ? Json.object() : Json.parse(body);
     if (to.equals("state")) {
       state.handle(from, method, path, n, respond);
     } else if (to.equals("cloud")) {
@@ -258,7 +270,7 @@
       if (node.core == null) {
         respond.done(Outbox.NOT_SENT, new byte[0]);
       } else {
-        node.receive(method, path, body == null ? new byte[0] : body, respond);
+        node.receive(peer, method, path, body == null ? new byte[0] : body, respond);
       }
     } else if (workers.containsKey(to)) {
       workers.get(to).handle(method, path, n, respond);
