--- a/src/main/java/org/baygw/control/Constants.java
+++ b/src/main/java/org/baygw/control/Constants.java
@@ -30,10 +30,13 @@
   public static final long CLAIM_RETRY_MS = 300;
 
   /** ms between two statuses sent to the other controllers. */
-  public static final long PEER_MS = 1_500;
+  public static final long PEER_MS = 3_000;
 
   /** ms without the state service before a controller asks itself whether it alone is refused. */
-  public static final long ALONE_MS = 3_000;
+  public static final long ALONE_MS = 5_000;
+
+  /** ms: a peer reaches the state service if it did so no longer ago than this. */
+  public static final long PEER_FRESH_MS = 2_000;
 
   /** Significant digits of histograms: 1% is enough for latencies and keeps them small. */
   public static final int HISTOGRAM_DIGITS = 2;
@@ -98,8 +101,17 @@
   /** ms for a worker's answer when it is asked whether it is there. */
   public static final int SHOW_TIMEOUT_MS = 1_500;
 
-  /** Share of a part owner's machines silent at once that points at us or the network, not at them. */
-  public static final double LOST_SHARE_MAX = 0.6;
+  /** Share of all machines silent at once that points at the network, not at them. */
+  public static final double SILENT_SHARE_MAX = 0.4;
+
+  /** Report periods a silent machine is kept in any case, to see whether others fall silent too. */
+  public static final double SILENT_REPORTS = 0.5;
+
+  /** ms for which so many silent machines are kept: a cut ends, and new machines take a boot. */
+  public static final long SILENT_KEEP_MS = 60_000;
+
+  /** Share of the time for a cancellation after which a silent machine with cancelled tasks goes. */
+  public static final double CANCEL_SHARE = 0.4;
 
   /** ms a granted task may wait in a part with no fitting machine before it goes back to the queue. */
   public static final long UNGRANT_MS = 4_000;
--- a/src/main/java/org/baygw/control/fleet/Fleet.java
+++ b/src/main/java/org/baygw/control/fleet/Fleet.java
@@ -14,10 +14,12 @@
 import org.baygw.control.core.Clock;
 import org.baygw.control.core.Json;
 import org.baygw.control.membership.Membership;
+import org.baygw.control.model.Job;
 import org.baygw.control.model.JobSpec;
 import org.baygw.control.model.Machine;
 import org.baygw.control.model.MachineType;
 import org.baygw.control.model.Records;
+import org.baygw.control.model.TaskId;
 import org.baygw.control.placement.Room;
 import org.baygw.control.quota.Desk;
 import org.baygw.control.store.Keys;
@@ -78,6 +80,7 @@
   private final Map<Kind, Long> refused = new HashMap<>();
   private final Map<String, Long> emptySince = new HashMap<>();
   private final Map<String, Long> retryAt = new HashMap<>();
+  private final Map<String, Long> silentSince = new HashMap<>();
   private final Set<String> draining = new HashSet<>();
   private boolean returning;
   private long nextReturn;
@@ -113,6 +116,7 @@
       answered.clear();
       answeredAt.clear();
       emptySince.clear();
+      silentSince.clear();
       booking.clear();
       retryAt.clear();
       draining.clear();
@@ -380,15 +384,33 @@
   /** Marks machines for return: those given up, and those empty for long. */
   private void spare(long now) {
     emptySince.keySet().retainAll(view.machines.keySet());
+    silentSince
+        .keySet()
+        .removeIf(
+            name ->
+                !view.machines.containsKey(name)
+                    || view.machines.get(name).value().condition() != Machine.Condition.SILENT);
+    for (View.Entry<Machine> e : view.machines.values()) {
+      if (e.value().condition() == Machine.Condition.SILENT) {
+        silentSince.putIfAbsent(e.value().name(), now);
+      }
+    }
+    boolean cut =
+        silentSince.size() > 2
+            && silentSince.size() > view.machines.size() * Constants.SILENT_SHARE_MAX;
     for (View.Entry<Machine> e : List.copyOf(view.machines.values())) {
       Machine m = e.value();
       if (view.drains.containsKey(m.name()) || draining.contains(m.name())) {
         continue;
       }
-      if (m.condition() == Machine.Condition.GIVE_UP) {
+      if (m.condition() == Machine.Condition.SICK
+          || m.condition() == Machine.Condition.SILENT && !keep(m, now, cut)) {
         drain(m.name(), e.stamp());
         continue;
       }
+      if (m.condition() == Machine.Condition.SILENT) {
+        continue;
+      }
       if (!m.tasks().isEmpty() || !view.granted(m.part()).isEmpty() && unplacedIn(m)) {
         emptySince.remove(m.name());
         continue;
@@ -403,6 +425,25 @@
     }
   }
 
+  /**
+   * Whether a silent machine is kept for now. When many fall silent at once a cut is likelier than
+   * their deaths: returning them all would leave nothing to go on with when it ends.
+   */
+  private boolean keep(Machine m, long now, boolean cut) {
+    long silent = now - silentSince.get(m.name());
+    if (!cut) {
+      return silent < settings.workers().reportS() * 1000 * Constants.SILENT_REPORTS;
+    }
+    long limit = Constants.SILENT_KEEP_MS;
+    for (TaskId t : m.tasks().keySet()) {
+      View.Entry<Job> j = view.jobs.get(t.job());
+      if (j != null && j.value().state() == Job.State.CANCELLED) {
+        limit = (long) (settings.workers().cancelS() * 1000 * Constants.CANCEL_SHARE);
+      }
+    }
+    return silent < limit;
+  }
+
   private boolean unplacedIn(Machine m) {
     return view.granted(m.part()).stream().anyMatch(t -> !view.places.containsKey(t));
   }
--- a/src/main/java/org/baygw/control/membership/Peers.java
+++ b/src/main/java/org/baygw/control/membership/Peers.java
@@ -82,7 +82,7 @@
     }
     for (Seen s : seen.values()) {
       long age = clock.now() - s.at();
-      if (age < 2 * Constants.PEER_MS && s.stateAgeMs() + age < Constants.ALONE_MS) {
+      if (age < 2 * Constants.PEER_MS && s.stateAgeMs() < Constants.PEER_FRESH_MS) {
         return true;
       }
     }
--- a/src/main/java/org/baygw/control/model/Machine.java
+++ b/src/main/java/org/baygw/control/model/Machine.java
@@ -25,8 +25,10 @@
     OK,
     /** Its spot notice came. */
     LEAVING,
-    /** It fails what it is given, or it is silent: it is to be returned. */
-    GIVE_UP
+    /** It neither reports nor answers. */
+    SILENT,
+    /** It fails what it is given: it is to be returned. */
+    SICK
   }
 
   public Part part() {
--- a/src/main/java/org/baygw/control/workers/Workers.java
+++ b/src/main/java/org/baygw/control/workers/Workers.java
@@ -155,28 +155,18 @@
     agents
         .values()
         .removeIf(a -> !a.busy && !owns(a));
-    Set<String> silent = new HashSet<>();
-    int mine = 0;
     for (View.Entry<Machine> e : List.copyOf(view.machines.values())) {
       Machine m = e.value();
       long claim = membership.owned(m.part());
       if (claim == 0) {
         continue;
       }
-      mine++;
       Agent a = agent(m.name(), claim);
       if (a.addr.isEmpty()) {
         a.addr = m.addr();
       }
-      if (silent(a)) {
-        silent.add(m.name());
-      }
-    }
-    for (View.Entry<Machine> e : List.copyOf(view.machines.values())) {
-      Agent a = agents.get(e.value().name());
-      if (a != null && membership.owned(e.value().part()) == a.claim && !a.busy) {
-        boolean ours = silent.size() > 2 && silent.size() > mine * Constants.LOST_SHARE_MAX;
-        watchOver(a, e, silent.contains(a.name) && !ours);
+      if (!a.busy) {
+        watchOver(a, e, silent(a));
       }
     }
     place();
@@ -417,15 +407,16 @@
       a.tick = -1;
     }
     Machine.Condition want = m.condition();
-    if (lost || a.sick) {
-      want = Machine.Condition.GIVE_UP;
+    if (a.sick) {
+      want = Machine.Condition.SICK;
+    } else if (lost) {
+      want = Machine.Condition.SILENT;
     } else if (a.noticeUntil > 0 || view.cordons.contains(m.name())) {
       want = Machine.Condition.LEAVING;
     } else if (a.lastHeard > 0) {
       want = Machine.Condition.OK;
     }
-    if (want != m.condition()
-        && (want == Machine.Condition.GIVE_UP || drain == null)) {
+    if (want != m.condition() && drain == null) {
       LOG.info("{} is {}", m.name(), want);
       write(
           a,
