--- a/src/main/java/org/baygw/control/workers/Workers.java
+++ b/src/main/java/org/baygw/control/workers/Workers.java
@@ -905,6 +905,14 @@
     }
     Machine next = m.withTasks(all);
     for (TaskId t : tasks.keySet()) {
+      Job j = view.jobs.get(t.job()).value();
+      LOG.debug(
+          "place {} ({}) on {} after {} ms, image there: {}",
+          t,
+          j.spec().jobClass(),
+          m.name(),
+          clock.wall() - j.acceptedMs(),
+          m.images().contains(j.spec().image()));
       next = next.withImage(view.jobs.get(t.job()).value().spec().image());
     }
     txn.put(Keys.machine(m.name()), Records.machine(next));
