--- a/src/main/java/org/baygw/control/Constants.java
+++ b/src/main/java/org/baygw/control/Constants.java
@@ -185,6 +185,12 @@
    */
   public static final long RECLAIM_MS = 45_000;
 
+  /** s of lost work that a start with its image there is worth: about one fetch. */
+  public static final double COLD_COST_S = 3;
+
+  /** s of lost work that a second of saving is worth, for the one that waits for the room. */
+  public static final double SAVE_COST = 4;
+
   /** Tasks the desk may stop in one pass to make room. */
   public static final int PREEMPT_PER_PASS = 16;
 
--- a/src/main/java/org/baygw/control/quota/Desk.java
+++ b/src/main/java/org/baygw/control/quota/Desk.java
@@ -50,6 +50,9 @@
   /** Unfinished jobs that fit into their team's guarantee together with its earlier ones. */
   private final Set<String> guaranteed = new HashSet<>();
 
+  /** When this desk granted what is live; a former desk's grants count as old. */
+  private final Map<TaskId, Long> grantedAt = new HashMap<>();
+
   private List<Unmet> unmet = List.of();
   private long nextPass;
   private long seenChanges = -1;
@@ -193,12 +196,13 @@
     for (Queued q : queue) {
       serve(q, rooms, use.get(q.spec().team()), left);
     }
+    grantedAt.keySet().removeIf(t -> !live(t) && !busy.containsKey(t.job()));
     preempt(left, use);
     unmet = left;
   }
 
   /** A task that could be stopped to make room. */
-  private record Victim(TaskId task, JobSpec spec, long stamp) {}
+  private record Victim(TaskId task, JobSpec spec, double cost) {}
 
   /**
    * Makes room for production jobs and for jobs within their team's guarantee, as the protocol
@@ -227,10 +231,10 @@
         }
         List<Victim> need = needed(u, r, e.getValue(), use);
         if (need != null) {
-          // What stopping costs: tasks that cannot save lose their work.
-          double cost = r.machine().images().contains(u.spec().image()) ? 0 : 0.5;
+          double cost =
+              r.machine().images().contains(u.spec().image()) ? 0 : Constants.COLD_COST_S;
           for (Victim v : need) {
-            cost += v.spec().checkpoints() ? 1 : 2;
+            cost += v.cost();
           }
           if (cost < least) {
             least = cost;
@@ -255,6 +259,11 @@
     stops.forEach(this::stop);
   }
 
+  private boolean live(TaskId t) {
+    Progress p = view.progress(t.job(), t.index() / Constants.CHUNK_TASKS);
+    return p != null && p.live.containsKey(t.index());
+  }
+
   /** The room that stopping tasks will leave, and what else could be stopped, cheapest first. */
   private Map<Room, List<Victim>> victims() {
     Map<Room, List<Victim>> out = new LinkedHashMap<>();
@@ -276,21 +285,29 @@
         if (l.stop() || !j.value().open()) {
           r.free(j.value().spec());
         } else if (!busy.containsKey(t.job())) {
-          list.add(new Victim(t, j.value().spec(), j.stamp()));
+          list.add(new Victim(t, j.value().spec(), cost(t, j.value().spec())));
         }
       }
       list.sort(
-          Comparator.comparing((Victim v) -> v.spec().priority())
-              .reversed()
-              .thenComparing(v -> v.spec().checkpoints() ? 0 : 1)
-              // The newest job has run least, so it loses least.
-              .thenComparing(Comparator.comparing(Victim::stamp).reversed())
+          Comparator.comparing(Victim::cost)
               .thenComparing(Victim::task));
       out.put(r, list);
     }
     return out;
   }
 
+  /**
+   * What stopping a task costs, in seconds: the work it loses, or the time it takes to save, in which
+   * the one that needs the room waits.
+   */
+  private double cost(TaskId t, JobSpec s) {
+    if (s.checkpoints()) {
+      return Constants.SAVE_COST * s.saveS();
+    }
+    Long at = grantedAt.get(t);
+    return at == null ? s.estimateS() : Math.min(s.estimateS(), (clock.now() - at) / 1000.0);
+  }
+
   /** The victims that would make the task fit on the machine; null if none would. */
   private List<Victim> needed(Unmet u, Room r, List<Victim> list, Map<String, Use> use) {
     JobSpec s = u.spec();
@@ -416,6 +433,7 @@
           Progress p =
               next.computeIfAbsent(c, k -> now == null ? new Progress() : now.copy());
           p.grant(i, part);
+          grantedAt.put(new TaskId(q.id(), i), clock.now());
           zoneLive[settings.zones().indexOf(part.zone())]++;
           granted++;
         }
