--- a/src/main/java/org/baygw/control/Constants.java
+++ b/src/main/java/org/baygw/control/Constants.java
@@ -26,6 +26,9 @@
   /** ms a controller must be seen before parts are handed to it, so a flapping one gets none. */
   public static final long SETTLE_MS = 3_000;
 
+  /** ms between looks at who should hold what. */
+  public static final long CLAIM_LOOK_MS = 100;
+
   /** ms between tries for a claim that another controller may be taking at the same moment. */
   public static final long CLAIM_RETRY_MS = 300;
 
--- a/src/main/java/org/baygw/control/membership/Membership.java
+++ b/src/main/java/org/baygw/control/membership/Membership.java
@@ -215,6 +215,7 @@
     }
     Txn t = take.writes() > 0 ? take : give;
     if (t.writes() == 0) {
+      nextClaim = clock.now() + Constants.CLAIM_LOOK_MS;
       return;
     }
     claiming = true;
--- a/src/main/java/org/baygw/control/model/Machine.java
+++ b/src/main/java/org/baygw/control/model/Machine.java
@@ -18,7 +18,8 @@
     String addr,
     Condition condition,
     Map<TaskId, Integer> tasks,
-    List<String> images) {
+    List<String> images,
+    Part part) {
 
   /** Whether it is fit for new tasks. */
   public enum Condition {
@@ -31,17 +32,13 @@
     SICK
   }
 
-  public Part part() {
-    return Part.of(name, zone);
-  }
-
   public Machine with(Condition c) {
-    return new Machine(name, type, zone, spot, addr, c, tasks, images);
+    return new Machine(name, type, zone, spot, addr, c, tasks, images, part);
   }
 
   public Machine withTasks(Map<TaskId, Integer> next) {
     return new Machine(
-        name, type, zone, spot, addr, condition, new LinkedHashMap<>(next), images);
+        name, type, zone, spot, addr, condition, new LinkedHashMap<>(next), images, part);
   }
 
   /** Notes that the machine fetches this image; the ones used last are kept. */
@@ -51,6 +48,14 @@
     next.add(image);
     int from = Math.max(0, next.size() - Constants.MACHINE_IMAGES);
     return new Machine(
-        name, type, zone, spot, addr, condition, tasks, List.copyOf(next.subList(from, next.size())));
+        name,
+        type,
+        zone,
+        spot,
+        addr,
+        condition,
+        tasks,
+        List.copyOf(next.subList(from, next.size())),
+        part);
   }
 }
--- a/src/main/java/org/baygw/control/model/Records.java
+++ b/src/main/java/org/baygw/control/model/Records.java
@@ -125,7 +125,8 @@
         n.path("addr").asText(),
         Machine.Condition.valueOf(n.path("condition").asText()),
         tasks,
-        List.copyOf(images));
+        List.copyOf(images),
+        Part.of(name, n.path("zone").asText()));
   }
 
   public static ObjectNode types(List<MachineType> types) {
--- a/src/main/java/org/baygw/control/placement/Room.java
+++ b/src/main/java/org/baygw/control/placement/Room.java
@@ -7,6 +7,7 @@
 import org.baygw.control.model.JobSpec;
 import org.baygw.control.model.Machine;
 import org.baygw.control.model.MachineType;
+import org.baygw.control.model.Part;
 import org.baygw.control.model.TaskId;
 import org.baygw.control.store.View;
 
@@ -46,7 +47,15 @@
   public static Room empty(String name, MachineType type, String zone, boolean spot) {
     return new Room(
         new Machine(
-            name, type.name(), zone, spot, "", Machine.Condition.OK, Map.of(), List.of()),
+            name,
+            type.name(),
+            zone,
+            spot,
+            "",
+            Machine.Condition.OK,
+            Map.of(),
+            List.of(),
+            Part.of(name, zone)),
         type);
   }
 
--- a/src/main/java/org/baygw/control/workers/Workers.java
+++ b/src/main/java/org/baygw/control/workers/Workers.java
@@ -352,7 +352,8 @@
             r.addr(),
             Machine.Condition.OK,
             Map.of(),
-            List.of());
+            List.of(),
+            Part.of(r.machine(), r.zone()));
     write(
         a,
         Store.Urgency.LAUNCH,
