--- a/src/main/java/org/baygw/control/Constants.java
+++ b/src/main/java/org/baygw/control/Constants.java
@@ -119,6 +119,9 @@
   /** ms a granted task may wait in a part with no fitting machine before it goes back to the queue. */
   public static final long UNGRANT_MS = 4_000;
 
+  /** ms between looks over all machines of an owner; what changes is looked at at once. */
+  public static final long LOOK_MS = 250;
+
   /** ms between the desk's passes over the queue. */
   public static final long DESK_PASS_MS = 100;
 
--- a/src/main/java/org/baygw/control/fleet/Fleet.java
+++ b/src/main/java/org/baygw/control/fleet/Fleet.java
@@ -411,7 +411,7 @@
       if (m.condition() == Machine.Condition.SILENT) {
         continue;
       }
-      if (!m.tasks().isEmpty() || !view.granted(m.part()).isEmpty() && unplacedIn(m)) {
+      if (!m.tasks().isEmpty() || !view.unplaced(m.part()).isEmpty()) {
         emptySince.remove(m.name());
         continue;
       }
@@ -444,10 +444,6 @@
     return silent < limit;
   }
 
-  private boolean unplacedIn(Machine m) {
-    return view.granted(m.part()).stream().anyMatch(t -> !view.places.containsKey(t));
-  }
-
   private void drain(String name, long stamp) {
     draining.add(name);
     store.settle(
--- a/src/main/java/org/baygw/control/quota/Desk.java
+++ b/src/main/java/org/baygw/control/quota/Desk.java
@@ -382,12 +382,12 @@
         }
       }
     }
-    view.granted.forEach(
-        (part, tasks) -> {
-          for (TaskId t : tasks) {
+    rooms.forEach(
+        (part, list) -> {
+          for (TaskId t : view.unplaced(part)) {
             View.Entry<Job> j = view.jobs.get(t.job());
-            if (j != null && !view.places.containsKey(t)) {
-              for (Room r : rooms.getOrDefault(part, List.of())) {
+            if (j != null) {
+              for (Room r : list) {
                 if (r.fits(j.value().spec())) {
                   r.take(j.value().spec());
                   break;
--- a/src/main/java/org/baygw/control/store/View.java
+++ b/src/main/java/org/baygw/control/store/View.java
@@ -1,14 +1,15 @@
 package org.baygw.control.store;
 
 import com.fasterxml.jackson.databind.JsonNode;
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
+import org.baygw.control.Constants;
 import org.baygw.control.model.Job;
 import org.baygw.control.model.Machine;
 import org.baygw.control.model.MachineType;
@@ -64,8 +65,10 @@
   /** Granted tasks of a part. */
   public final Map<Part, Set<TaskId>> granted = new HashMap<>();
 
-  /** Jobs of which a part of the keys changed since the last look. */
-  private final List<String> changedMachines = new ArrayList<>();
+  /** Granted tasks of a part that are on no machine. */
+  private final Map<Part, Set<TaskId>> unplaced = new HashMap<>();
+
+  private Set<String> changedMachines = new LinkedHashSet<>();
 
   public long revision() {
     return revision;
@@ -99,13 +102,37 @@
     return granted.getOrDefault(p, Set.of());
   }
 
-  /** Names of machines whose records changed since the last call. */
-  public List<String> takeChangedMachines() {
-    List<String> out = List.copyOf(changedMachines);
-    changedMachines.clear();
+  public Set<TaskId> unplaced(Part p) {
+    return unplaced.getOrDefault(p, Set.of());
+  }
+
+  /** Machines to look at since the last call: their records changed, or a task there is to stop. */
+  public Set<String> takeChangedMachines() {
+    Set<String> out = changedMachines;
+    changedMachines = new LinkedHashSet<>();
     return out;
   }
 
+  private void grantEnds(TaskId t, Progress.Live l) {
+    granted.get(l.part()).remove(t);
+    unplaced.getOrDefault(l.part(), Set.of()).remove(t);
+  }
+
+  private void grantBegins(TaskId t, Progress.Live l) {
+    granted.computeIfAbsent(l.part(), k -> new HashSet<>()).add(t);
+    Set<String> at = places.get(t);
+    if (at == null) {
+      unplaced.computeIfAbsent(l.part(), k -> new HashSet<>()).add(t);
+    } else if (l.stop()) {
+      changedMachines.addAll(at);
+    }
+  }
+
+  private Progress.Live grantOf(TaskId t) {
+    Progress p = progress(t.job(), t.index() / Constants.CHUNK_TASKS);
+    return p == null ? null : p.live.get(t.index());
+  }
+
   /** Everything up to this revision has been applied. */
   void reached(long rev) {
     if (rev > revision) {
@@ -148,21 +175,26 @@
     String[] p = key.split("/", 4);
     String id = p.length > 2 ? p[2] : "";
     switch (p.length > 1 ? p[1] : "") {
-      case "job" -> set(jobs, id, v == null ? null : Records.job(id, v), stamp);
+      case "job" -> {
+        set(jobs, id, v == null ? null : Records.job(id, v), stamp);
+        if (v != null && !jobs.get(id).value().open()) {
+          for (Entry<Progress> c : progress.getOrDefault(id, new TreeMap<>()).values()) {
+            for (int i : c.value().live.keySet()) {
+              changedMachines.addAll(places.getOrDefault(new TaskId(id, i), Set.of()));
+            }
+          }
+        }
+      }
       case "prog" -> {
         int chunk = Integer.parseInt(p[3]);
         TreeMap<Integer, Entry<Progress>> m = progress.computeIfAbsent(id, k -> new TreeMap<>());
         Progress next = v == null ? null : Records.progress(v);
         Entry<Progress> old = m.get(chunk);
         if (old != null) {
-          old.value()
-              .live
-              .forEach((i, l) -> granted.get(l.part()).remove(new TaskId(id, i)));
+          old.value().live.forEach((i, l) -> grantEnds(new TaskId(id, i), l));
         }
         if (next != null) {
-          next.live.forEach(
-              (i, l) ->
-                  granted.computeIfAbsent(l.part(), k -> new HashSet<>()).add(new TaskId(id, i)));
+          next.live.forEach((i, l) -> grantBegins(new TaskId(id, i), l));
         }
         set(m, chunk, next, stamp);
         if (m.isEmpty()) {
@@ -178,11 +210,21 @@
             at.remove(id);
             if (at.isEmpty()) {
               places.remove(t);
+              Progress.Live l = grantOf(t);
+              if (l != null) {
+                unplaced.computeIfAbsent(l.part(), k -> new HashSet<>()).add(t);
+              }
             }
           }
         }
         if (next != null) {
-          next.tasks().keySet().forEach(t -> places.computeIfAbsent(t, k -> new HashSet<>()).add(id));
+          for (TaskId t : next.tasks().keySet()) {
+            places.computeIfAbsent(t, k -> new HashSet<>()).add(id);
+            Progress.Live l = grantOf(t);
+            if (l != null) {
+              unplaced.getOrDefault(l.part(), Set.of()).remove(t);
+            }
+          }
         }
         set(machines, id, next, stamp);
         changedMachines.add(id);
--- a/src/main/java/org/baygw/control/workers/Workers.java
+++ b/src/main/java/org/baygw/control/workers/Workers.java
@@ -147,15 +147,22 @@
       return;
     }
     long now = clock.now();
-    if (now < nextPass && view.changes() == seenChanges) {
+    boolean whole = now >= nextPass;
+    if (!whole && view.changes() == seenChanges) {
       return;
     }
-    nextPass = now + 200;
     seenChanges = view.changes();
-    agents
-        .values()
-        .removeIf(a -> !a.busy && !owns(a));
-    for (View.Entry<Machine> e : List.copyOf(view.machines.values())) {
+    Set<String> look = view.takeChangedMachines();
+    if (whole) {
+      nextPass = now + Constants.LOOK_MS;
+      agents.values().removeIf(a -> !a.busy && !owns(a));
+      look = Set.copyOf(view.machines.keySet());
+    }
+    for (String name : look) {
+      View.Entry<Machine> e = view.machines.get(name);
+      if (e == null) {
+        continue;
+      }
       Machine m = e.value();
       long claim = membership.owned(m.part());
       if (claim == 0) {
@@ -230,7 +237,7 @@
     Map<TaskId, Part> out = new LinkedHashMap<>();
     for (Part p : membership.parts()) {
       if (membership.owned(p) != 0) {
-        view.granted(p).stream().filter(t -> !placing(t)).forEach(t -> out.put(t, p));
+        view.unplaced(p).stream().filter(t -> !placing(t)).forEach(t -> out.put(t, p));
       }
     }
     return out;
@@ -380,9 +387,11 @@
           a.busy = false;
           busyChunks.removeAll(chunks);
           always.run();
-          nextPass = 0;
+          seenChanges = -1;
           if (done) {
             ok.run();
+          } else {
+            nextPass = 0;
           }
         });
   }
@@ -727,7 +736,6 @@
 
   private void answered(Agent a, List<TaskId> launched, int status, byte[] body) {
     a.directBusy = false;
-    nextPass = 0;
     boolean certain =
         status == 200 || status == 409 || status == 400 || status == Outbox.NOT_SENT;
     if (certain) {
@@ -752,6 +760,10 @@
         store.refresh();
       } else if (a.newer(r.session(), r.tick()) && !a.leaseOver) {
         take(a, r, false);
+        View.Entry<Machine> e = view.machines.get(a.name);
+        if (e != null && membership.owned(e.value().part()) == a.claim) {
+          settleEnded(a, e);
+        }
       }
     }
   }
@@ -763,11 +775,11 @@
     Map<String, List<TaskId>> back = new LinkedHashMap<>();
     for (Part part : membership.parts()) {
       long claim = membership.owned(part);
-      if (claim == 0 || view.granted(part).isEmpty()) {
+      if (claim == 0 || view.unplaced(part).isEmpty()) {
         continue;
       }
       List<TaskId> todo = new ArrayList<>();
-      for (TaskId t : view.granted(part)) {
+      for (TaskId t : view.unplaced(part)) {
         if (!placing(t)
             && !busyChunks.contains(
                 Keys.progress(t.job(), t.index() / Constants.CHUNK_TASKS))) {
