Hold a controller for refused alone only if another was answered 5 s later

Cause: a status from just before an outage of the state service made controllers fail /up in it (siam rough: 49 connections without a node).

--- a/src/main/java/org/baygw/control/Constants.java
+++ b/src/main/java/org/baygw/control/Constants.java
@@ -35,12 +35,9 @@
   /** ms between two statuses sent to the other controllers. */
   public static final long PEER_MS = 3_000;
 
-  /** ms without the state service before a controller asks itself whether it alone is refused. */
+  /** ms by which another controller was answered later by the state service: this one is refused alone. */
   public static final long ALONE_MS = 5_000;
 
-  /** ms: a peer reaches the state service if it did so no longer ago than this. */
-  public static final long PEER_FRESH_MS = 2_000;
-
   /** Significant digits of histograms: 1% is enough for latencies and keeps them small. */
   public static final int HISTOGRAM_DIGITS = 2;
 
--- a/src/main/java/org/baygw/control/membership/Peers.java
+++ b/src/main/java/org/baygw/control/membership/Peers.java
@@ -77,12 +77,10 @@
 
   /** True if another controller reaches the state service while this one does not. */
   public boolean refusedAlone() {
-    if (clock.now() - store.lastContact() < Constants.ALONE_MS) {
-      return false;
-    }
+    // Compared as times, not ages: in an outage all were answered last at about the same moment, and
+    // an old status from just before it must not make that look like a refusal of this one.
     for (Seen s : seen.values()) {
-      long age = clock.now() - s.at();
-      if (age < 2 * Constants.PEER_MS && s.stateAgeMs() < Constants.PEER_FRESH_MS) {
+      if (s.at() - s.stateAgeMs() - store.lastContact() > Constants.ALONE_MS) {
         return true;
       }
     }
