--- a/src/main/java/org/baygw/control/Constants.java
+++ b/src/main/java/org/baygw/control/Constants.java
@@ -183,10 +183,13 @@
   public static final long MOVE_PLAN_MS = 15_000;
 
   /**
-   * ms a job within its team's guarantee waits before borrowed room is taken back for it: tasks last
-   * a minute, so most room comes free sooner, and without a wait teams take turns at stopping tasks.
+   * ms after which a job within its team's guarantee of which nothing runs goes first in the queue:
+   * tasks last a minute, so some end every second and most room comes free without a stop.
    */
-  public static final long RECLAIM_MS = 45_000;
+  public static final long FIRST_MS = 45_000;
+
+  /** ms after which borrowed room is taken back for such a job by stopping tasks. */
+  public static final long RECLAIM_MS = 75_000;
 
   /** s of lost work that a start with its image there is worth: about one fetch. */
   public static final double COLD_COST_S = 3;
--- a/src/main/java/org/baygw/control/quota/Desk.java
+++ b/src/main/java/org/baygw/control/quota/Desk.java
@@ -68,13 +68,13 @@
     }
   }
 
-  /** A job with tasks that wait. */
+  /** A job with tasks that wait; idleMs is its age if it is within a guarantee and nothing has started. */
   private record Queued(
       String id,
       JobSpec spec,
       long stamp,
       boolean guaranteed,
-      boolean reclaims,
+      long idleMs,
       int late,
       double work,
       int pending,
@@ -171,9 +171,9 @@
                 job.spec(),
                 e.getValue().stamp(),
                 guaranteed.contains(id),
-                guaranteed.contains(id)
-                    && live + done == 0
-                    && clock.wall() - job.acceptedMs() > Constants.RECLAIM_MS,
+                guaranteed.contains(id) && live + done == 0
+                    ? clock.wall() - job.acceptedMs()
+                    : 0,
                 late(job),
                 (job.spec().tasks() - done) * job.spec().cpus() * job.spec().estimateS(),
                 pending,
@@ -183,8 +183,8 @@
     queue.sort(
         Comparator.comparing(
                 (Queued q) -> q.spec().priority() == JobSpec.Priority.PRODUCTION ? 0 : 1)
-            // First what stopped others, or the room would go to the next in line and be taken again.
-            .thenComparing(q -> q.reclaims() ? 0 : 1)
+            // First what may stop others, or the room would go to the next in line and be taken again.
+            .thenComparing(q -> q.idleMs() > Constants.FIRST_MS ? 0 : 1)
             .thenComparing(q -> q.guaranteed() ? 0 : 1)
             // More jobs are in time if those that can no longer be, and the long ones, let others pass.
             .thenComparing(Queued::late)
@@ -427,7 +427,7 @@
             break outer;
           }
           use.add(s, 1); // in thought: what is rented for must also be allowed to run
-          left.add(new Unmet(s, zoneFor(s, zoneLive), q.reclaims()));
+          left.add(new Unmet(s, zoneFor(s, zoneLive), q.idleMs() > Constants.RECLAIM_MS));
         } else if (next.containsKey(c) || next.size() < settings.state().txnOps() / 2) {
           use.add(s, 1);
           Progress p =
