--- a/src/main/java/org/baygw/control/quota/Desk.java
+++ b/src/main/java/org/baygw/control/quota/Desk.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.function.Consumer;
 import org.baygw.control.Constants;
 import org.baygw.control.config.Settings;
 import org.baygw.control.core.Clock;
@@ -50,6 +51,9 @@
   /** Unfinished jobs that fit into their team's guarantee together with its earlier ones. */
   private final Set<String> guaranteed = new HashSet<>();
 
+  /** Tasks whose stop is being written: their room counts as coming free, or more would be stopped. */
+  private final Set<TaskId> stopping = new HashSet<>();
+
   /** When this desk granted what is live; a former desk's grants count as old. */
   private final Map<TaskId, Long> grantedAt = new HashMap<>();
 
@@ -197,6 +201,7 @@
       serve(q, rooms, use.get(q.spec().team()), left);
     }
     grantedAt.keySet().removeIf(t -> !live(t) && !busy.containsKey(t.job()));
+    stopping.removeIf(t -> !live(t));
     preempt(left, use);
     unmet = left;
   }
@@ -282,7 +287,7 @@
         if (j == null || l == null) {
           continue;
         }
-        if (l.stop() || !j.value().open()) {
+        if (l.stop() || stopping.contains(t) || !j.value().open()) {
           r.free(j.value().spec());
         } else if (!busy.containsKey(t.job())) {
           list.add(new Victim(t, j.value().spec(), cost(t, j.value().spec())));
@@ -352,7 +357,18 @@
           txn.when(key, view.stamp(key)).put(key, Records.progress(p));
         });
     LOG.info("stop {} tasks of {} to make room", victims.size(), job);
-    write(job, 0, Store.Urgency.GRANT, txn);
+    List<TaskId> tasks = victims.stream().map(Victim::task).toList();
+    stopping.addAll(tasks);
+    write(
+        job,
+        0,
+        Store.Urgency.GRANT,
+        txn,
+        ok -> {
+          if (!ok) {
+            stopping.removeAll(tasks);
+          }
+        });
   }
 
   /** How many of its class's aims the job would miss even if it started now. */
@@ -531,6 +547,11 @@
 
   /** Grants count against the team until it is certain whether they were made. */
   private void write(String job, int grants, Store.Urgency u, Txn txn) {
+    write(job, grants, u, txn, ok -> {});
+  }
+
+  private void write(
+      String job, int grants, Store.Urgency u, Txn txn, Consumer<Boolean> then) {
     busy.put(job, grants);
     store.settle(
         u,
@@ -538,6 +559,7 @@
         Constants.STATE_TIMEOUT_MS,
         ok -> {
           busy.remove(job);
+          then.accept(ok);
           nextPass = 0;
           seenChanges = -1;
         });
