--- a/src/main/java/org/baygw/control/workers/Workers.java
+++ b/src/main/java/org/baygw/control/workers/Workers.java
@@ -901,21 +901,17 @@
             .when(Keys.machine(m.name()), e.stamp())
             .when(Keys.claim(m.part().toString()), a.claim)
             .when(Keys.drain(m.name()), 0);
-    Set<String> chunks = new HashSet<>();
-    int conditions = 3;
+    Set<String> jobs = new HashSet<>();
     for (TaskId t : tasks.keySet()) {
-      String chunk = Keys.progress(t.job(), t.index() / Constants.CHUNK_TASKS);
-      if (chunks.contains(chunk)) {
-        continue;
-      }
-      if (conditions + 2 > settings.state().txnOps() * 4) {
-        return;
-      }
-      conditions += 2;
-      chunks.add(chunk);
-      // The grant must still stand, and the job must not have been cancelled.
-      txn.when(chunk, view.stamp(chunk)).when(Keys.job(t.job()), view.stamp(Keys.job(t.job())));
+      jobs.add(t.job());
+    }
+    if (jobs.size() + 3 > settings.state().txnOps() * 4) {
+      return;
     }
+    // The jobs must not have been cancelled. The grants need no condition: while the job is open only
+    // this owner takes one back, and not while it is being placed; the desk, which adds grants to the
+    // same keys all the time, would make most placements fail.
+    jobs.forEach(j -> txn.when(Keys.job(j), view.stamp(Keys.job(j))));
     Machine next = m.withTasks(all);
     for (TaskId t : tasks.keySet()) {
       Job j = view.jobs.get(t.job()).value();
