Keep empty spot machines longer, by how much cheaper they are

Cause (siam steady): rent-ledger jobs waited a boot of 50 to 75 s for machines returned moments before.

--- a/src/main/java/org/baygw/control/fleet/Fleet.java
+++ b/src/main/java/org/baygw/control/fleet/Fleet.java
@@ -419,6 +419,9 @@
       MachineType type = view.type(m.type());
       boolean leaving = m.condition() != Machine.Condition.OK;
       double keep = type == null || leaving ? 0 : type.bootS() * 1000 * Constants.IDLE_BOOTS;
+      if (m.spot() && type != null && type.spotPrice() > 0) {
+        keep *= type.price() / type.spotPrice(); // the same cost buys a longer wait
+      }
       if (now - since >= keep && (leaving || desk.unmet().isEmpty())) {
         drain(m.name(), e.stamp());
       }
