--- a/src/main/java/org/baygw/control/fleet/Fleet.java
+++ b/src/main/java/org/baygw/control/fleet/Fleet.java
@@ -403,12 +403,14 @@
       if (view.drains.containsKey(m.name()) || draining.contains(m.name())) {
         continue;
       }
-      if (m.condition() == Machine.Condition.SICK
+      // A sick machine fails what it starts, not what already runs: replicas there are not ended.
+      if (m.condition() == Machine.Condition.SICK && !hasReplica(m)
           || m.condition() == Machine.Condition.SILENT && !keep(m, now, cut)) {
         drain(m.name(), e.stamp());
         continue;
       }
-      if (m.condition() == Machine.Condition.SILENT) {
+      if (m.condition() == Machine.Condition.SILENT
+          || m.condition() == Machine.Condition.SICK) {
         continue;
       }
       if (!m.tasks().isEmpty() || !view.unplaced(m.part()).isEmpty()) {
@@ -447,6 +449,16 @@
     return silent < limit;
   }
 
+  private boolean hasReplica(Machine m) {
+    for (TaskId t : m.tasks().keySet()) {
+      View.Entry<Job> j = view.jobs.get(t.job());
+      if (j != null && j.value().open() && j.value().spec().service()) {
+        return true;
+      }
+    }
+    return false;
+  }
+
   private void drain(String name, long stamp) {
     draining.add(name);
     store.settle(
--- a/src/main/java/org/baygw/control/model/Machine.java
+++ b/src/main/java/org/baygw/control/model/Machine.java
@@ -28,7 +28,7 @@
     LEAVING,
     /** It neither reports nor answers. */
     SILENT,
-    /** It fails what it is given: it is to be returned. */
+    /** It fails what it is given: it gets no more, and is to be returned. */
     SICK
   }
 
--- a/src/test/java/org/baygw/control/sim/Checker.java
+++ b/src/test/java/org/baygw/control/sim/Checker.java
@@ -131,7 +131,11 @@
     }
   }
 
+  /** Jobs of which a task that ran has left its machine. */
+  final Set<String> everLeft = new HashSet<>();
+
   void left(FakeWorker w, String task) {
+    everLeft.add(task.substring(0, task.lastIndexOf('/')));
     Set<FakeWorker> at = on.get(task);
     if (at != null) {
       at.remove(w);
--- a/src/test/java/org/baygw/control/sim/Scenario.java
+++ b/src/test/java/org/baygw/control/sim/Scenario.java
@@ -288,6 +288,11 @@
           failures.add(w[2] + " has " + on + " tasks on machines");
         }
       }
+      case "never-left" -> {
+        if (world.checker.everLeft.contains(w[2])) {
+          failures.add("a task of " + w[2] + " left its machine");
+        }
+      }
       case "starts-at-most" -> {
         if (world.checker.starts > Integer.parseInt(w[2])) {
           failures.add(world.checker.starts + " starts");
