--- a/src/main/java/org/baygw/control/Constants.java
+++ b/src/main/java/org/baygw/control/Constants.java
@@ -23,8 +23,8 @@
   /** ms between renewals of the hold: three tries within its life. */
   public static final long HOLD_TOUCH_MS = 1_500;
 
-  /** ms a controller must be seen before parts are handed to it, so a flapping one gets none. */
-  public static final long SETTLE_MS = 3_000;
+  /** ms a controller must be seen before parts are handed to it: long enough not to chase one that flaps. */
+  public static final long SETTLE_MS = 1_000;
 
   /** ms between looks at who should hold what. */
   public static final long CLAIM_LOOK_MS = 100;
--- a/src/main/java/org/baygw/control/workers/Workers.java
+++ b/src/main/java/org/baygw/control/workers/Workers.java
@@ -172,6 +172,9 @@
       if (a.addr.isEmpty()) {
         a.addr = m.addr();
       }
+      // Also while its record cannot be written: in an outage of the state service a cut may end, and
+      // the machine must not be taken for silent afterwards.
+      ask(a);
       if (!a.busy) {
         watchOver(a, e, silent(a));
       }
@@ -427,17 +430,19 @@
       want = Machine.Condition.OK;
     }
     if (want != m.condition() && drain == null) {
-      LOG.info("{} is {}", m.name(), want);
+      Machine.Condition now = want;
       write(
           a,
           Store.Urgency.LAUNCH,
           new Txn()
               .when(Keys.machine(m.name()), e.stamp())
               .when(Keys.claim(m.part().toString()), a.claim)
-              .put(Keys.machine(m.name()), Records.machine(m.with(want))));
+              .put(Keys.machine(m.name()), Records.machine(m.with(want))),
+          Set.of(),
+          () -> {},
+          () -> LOG.info("{} is {}", m.name(), now));
       return;
     }
-    ask(a);
     if (settleEnded(a, e)) {
       return;
     }
