--- a/src/main/java/org/baygw/control/Constants.java
+++ b/src/main/java/org/baygw/control/Constants.java
@@ -68,9 +68,6 @@
   /** ms a submission may wait for tokens and its write before it is refused; users wait 5 s. */
   public static final long SUBMIT_WAIT_MS = 1_500;
 
-  /** ms a poll may wait for its sync; users wait 2 s. */
-  public static final long POLL_WAIT_MS = 1_200;
-
   /** s. Retry-After of a submission or poll that could not be taken: an outage lasts seconds. */
   public static final int RETRY_AFTER_S = 1;
 
--- a/src/test/java/org/baygw/control/sim/StormTest.java
+++ b/src/test/java/org/baygw/control/sim/StormTest.java
@@ -41,7 +41,7 @@
         b.append(String.format(Locale.ROOT, "at %.2f abort run-%d%n", at + r.nextDouble() * 20, i));
       }
     }
-    for (int i = 0; i < 14; i++) {
+    for (int i = 0; i < 26; i++) {
       double at = 2 + r.nextDouble() * 75;
       double span = 0.3 + r.nextDouble() * (r.nextInt(3) == 0 ? 25 : 6);
       String c = CONTROLLERS[r.nextInt(3)];
@@ -49,7 +49,7 @@
       String[] kinds = {"hold", "drop", "lose_answers"};
       String k = kinds[r.nextInt(3)];
       String fault =
-          switch (r.nextInt(10)) {
+          switch (r.nextInt(16)) {
             case 0 -> "crash " + c;
             case 1 -> "crash all";
             case 2 -> "crash-desk";
@@ -59,6 +59,8 @@
             case 6 -> "cut controllers " + m + " hold";
             case 7 -> "cut workers " + c + " " + k;
             case 8 -> "cloud-outage";
+            case 9, 10, 11 -> "cut " + c + " state " + k;
+            case 12, 13, 14 -> "cut controllers " + m + " hold";
             default -> "cut " + c + " cloud " + k;
           };
       b.append(String.format(Locale.ROOT, "at %.2f %s for %.2f%n", at, fault, span));
