Look grants up in one place, name bare numbers, and keep /show from ending a direct call

Read over: six copies of the grant lookup now call View.grant; the grace to save and the worker periods stand in Constants; the answer to /show went through the handling of direct orders and so marked one that was still under way as over.

--- a/src/main/java/org/baygw/control/Constants.java
+++ b/src/main/java/org/baygw/control/Constants.java
@@ -95,6 +95,21 @@
   /** Report periods of silence after which a machine that did not answer is given up and returned. */
   public static final double LOST_REPORTS = 2.3;
 
+  /** Report periods between two questions to a worker that does not answer. */
+  public static final double ASK_AGAIN_REPORTS = 0.5;
+
+  /** Report periods within which a worker must have been heard to be given anything directly. */
+  public static final double HEARD_REPORTS = 2;
+
+  /** ms a worker is remembered that reports before its machine is on record. */
+  public static final long UNREGISTERED_MS = 10_000;
+
+  /** Times its saving time that a stopped task is given, since machines differ in speed. */
+  public static final double GRACE_SAVES = 2;
+
+  /** s added to that, for tasks that save at once. */
+  public static final double GRACE_S = 1;
+
   /** ms for a worker's answer when it is asked whether it is there. */
   public static final int SHOW_TIMEOUT_MS = 1_500;
 
--- a/src/main/java/org/baygw/control/model/JobSpec.java
+++ b/src/main/java/org/baygw/control/model/JobSpec.java
@@ -1,6 +1,7 @@
 package org.baygw.control.model;
 
 import java.util.List;
+import org.baygw.control.Constants;
 
 /** What a user asked for. Lists and zone are empty or null where anything is allowed. */
 public record JobSpec(
@@ -37,6 +38,11 @@
     return checkpointS > 0;
   }
 
+  /** s a task gets to save when it is stopped. */
+  public double graceS() {
+    return saveS * Constants.GRACE_SAVES + Constants.GRACE_S;
+  }
+
   public boolean typeAllowed(String type) {
     return types.isEmpty() || types.contains(type);
   }
--- a/src/main/java/org/baygw/control/quota/Desk.java
+++ b/src/main/java/org/baygw/control/quota/Desk.java
@@ -265,8 +265,7 @@
   }
 
   private boolean live(TaskId t) {
-    Progress p = view.progress(t.job(), t.index() / Constants.CHUNK_TASKS);
-    return p != null && p.live.containsKey(t.index());
+    return view.grant(t) != null;
   }
 
   /** The room that stopping tasks will leave, and what else could be stopped, cheapest first. */
@@ -282,8 +281,7 @@
       List<Victim> list = new ArrayList<>();
       for (TaskId t : m.tasks().keySet()) {
         View.Entry<Job> j = view.jobs.get(t.job());
-        Progress p = view.progress(t.job(), t.index() / Constants.CHUNK_TASKS);
-        Progress.Live l = p == null ? null : p.live.get(t.index());
+        Progress.Live l = view.grant(t);
         if (j == null || l == null) {
           continue;
         }
--- a/src/main/java/org/baygw/control/store/View.java
+++ b/src/main/java/org/baygw/control/store/View.java
@@ -128,7 +128,8 @@
     }
   }
 
-  private Progress.Live grantOf(TaskId t) {
+  /** The task's grant, or null. */
+  public Progress.Live grant(TaskId t) {
     Progress p = progress(t.job(), t.index() / Constants.CHUNK_TASKS);
     return p == null ? null : p.live.get(t.index());
   }
@@ -210,7 +211,7 @@
             at.remove(id);
             if (at.isEmpty()) {
               places.remove(t);
-              Progress.Live l = grantOf(t);
+              Progress.Live l = grant(t);
               if (l != null) {
                 unplaced.computeIfAbsent(l.part(), k -> new HashSet<>()).add(t);
               }
@@ -220,7 +221,7 @@
         if (next != null) {
           for (TaskId t : next.tasks().keySet()) {
             places.computeIfAbsent(t, k -> new HashSet<>()).add(id);
-            Progress.Live l = grantOf(t);
+            Progress.Live l = grant(t);
             if (l != null) {
               unplaced.getOrDefault(l.part(), Set.of()).remove(t);
             }
--- a/src/main/java/org/baygw/control/workers/Workers.java
+++ b/src/main/java/org/baygw/control/workers/Workers.java
@@ -1,6 +1,5 @@
 package org.baygw.control.workers;
 
-import com.fasterxml.jackson.databind.JsonNode;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
@@ -209,8 +208,7 @@
     Map<String, Map<TaskId, Integer>> onto = new LinkedHashMap<>();
     placed.forEach(
         (t, machine) -> {
-          Progress p = view.progress(t.job(), t.index() / Constants.CHUNK_TASKS);
-          Progress.Live l = p == null ? null : p.live.get(t.index());
+          Progress.Live l = view.grant(t);
           View.Entry<Machine> e = view.machines.get(machine);
           Agent a = agents.get(machine);
           View.Entry<Job> j = view.jobs.get(t.job());
@@ -274,7 +272,7 @@
   private boolean owns(Agent a) {
     View.Entry<Machine> m = view.machines.get(a.name);
     return m != null && membership.owned(m.value().part()) == a.claim
-        || clock.now() - a.since < 10_000 && m == null;
+        || clock.now() - a.since < Constants.UNREGISTERED_MS && m == null;
   }
 
   private Agent agent(String machine, long claim) {
@@ -306,7 +304,7 @@
       return;
     }
     a.asking = true;
-    a.nextAsk = now + (long) (settings.workers().reportS() * 500);
+    a.nextAsk = now + (long) (settings.workers().reportS() * 1000 * Constants.ASK_AGAIN_REPORTS);
     out.call(
         a.addr,
         "GET",
@@ -319,7 +317,7 @@
             a.unanswered = true;
             return;
           }
-          answered(a, List.of(), status, body);
+          heard(a, body);
           if (!a.trusted() && agents.get(a.name) == a && a.session > 0) {
             direct(a, List.of());
           }
@@ -487,8 +485,7 @@
     if (j == null || !j.value().open()) {
       return false;
     }
-    Progress p = view.progress(t.job(), t.index() / Constants.CHUNK_TASKS);
-    Progress.Live l = p == null ? null : p.live.get(t.index());
+    Progress.Live l = view.grant(t);
     return l != null && l.attempt() == attempt && !l.stop() && l.part().equals(m.part());
   }
 
@@ -607,8 +604,7 @@
     Agent a = name == null ? null : agents.get(name);
     View.Entry<Job> j = view.jobs.get(t.job());
     if (e == null || a == null || a.busy || j == null || !j.value().open()
-        || !placeable(a, e.value()) || view.progress(t.job(), t.index() / Constants.CHUNK_TASKS)
-            .live.get(t.index()).stop()) {
+        || !placeable(a, e.value()) || view.grant(t).stop()) {
       return null;
     }
     Room r = room(a, e.value());
@@ -695,17 +691,17 @@
     }
     JobSpec spec = j.value().spec();
     if (!wanted(t, s.attempt(), m)) {
-      return spec.checkpoints() ? spec.saveS() * 2 + 1 : 0;
+      return spec.checkpoints() ? spec.graceS() : 0;
     }
     if (rounds.target(t, m.name()) != null && s.state() == WorkerCodec.State.RUNNING) {
-      return spec.checkpoints() ? spec.saveS() * 2 + 1 : 0;
+      return spec.checkpoints() ? spec.graceS() : 0;
     }
     if (view.cordons.contains(m.name()) && spec.service()) {
       return 0.0; // an operator's drain: replicas go elsewhere at once, other tasks may finish
     }
     boolean leaving = a.noticeUntil > 0 || view.cordons.contains(m.name());
     if (leaving && spec.checkpoints() && s.state() != WorkerCodec.State.SAVING) {
-      return spec.saveS() * 2 + 1; // the notice: save while there is time
+      return spec.graceS(); // the notice: save while there is time
     }
     return null;
   }
@@ -713,7 +709,7 @@
   /** Sends at once what should not wait for the next report. */
   private void urgent(Agent a, View.Entry<Machine> e) {
     if (a.directBusy || a.busy || a.addr.isEmpty() || !a.trusted() || a.leaseOver
-        || clock.now() - a.lastHeard > settings.workers().reportS() * 2_000) {
+        || !heardLately(a)) {
       return;
     }
     List<WorkerCodec.Order> orders = orders(a, e, false);
@@ -761,8 +757,14 @@
       // It may be carried out minutes later. A higher token, once seen there, rules that out.
       a.raises++;
     }
-    JsonNode n = status == 200 || status == 409 ? Json.parse(body) : null;
-    WorkerCodec.Report r = n == null ? null : WorkerCodec.decode(n);
+    if (status == 200 || status == 409) {
+      heard(a, body);
+    }
+  }
+
+  /** A report that came as the answer to a call of ours. */
+  private void heard(Agent a, byte[] body) {
+    WorkerCodec.Report r = WorkerCodec.decode(Json.parse(body));
     if (r != null && r.machine().equals(a.name) && agents.get(a.name) == a) {
       if (r.token() > a.token()) {
         store.refresh();
@@ -802,8 +804,7 @@
       Map<String, Map<TaskId, Integer>> onto = new LinkedHashMap<>();
       for (TaskId t : todo) {
         View.Entry<Job> j = view.jobs.get(t.job());
-        Progress.Live l =
-            view.progress(t.job(), t.index() / Constants.CHUNK_TASKS).live.get(t.index());
+        Progress.Live l = view.grant(t);
         waiting.add(t);
         long since = unplacedSince.computeIfAbsent(t, k -> now);
         boolean over = j == null || !j.value().open() || l.stop();
@@ -853,7 +854,12 @@
         && a.noticeUntil == 0
         && m.condition() == Machine.Condition.OK
         && !view.drains.containsKey(m.name())
-        && clock.now() - a.lastHeard <= settings.workers().reportS() * 2_000;
+        && heardLately(a);
+  }
+
+  private boolean heardLately(Agent a) {
+    return clock.now() - a.lastHeard
+        <= settings.workers().reportS() * 1000 * Constants.HEARD_REPORTS;
   }
 
   private Room room(Agent a, Machine m) {
@@ -930,7 +936,7 @@
           m.name(),
           clock.wall() - j.acceptedMs(),
           m.images().contains(j.spec().image()));
-      next = next.withImage(view.jobs.get(t.job()).value().spec().image());
+      next = next.withImage(j.spec().image());
     }
     txn.put(Keys.machine(m.name()), Records.machine(next));
     placing.addAll(tasks.keySet());
