--- a/src/main/java/org/baygw/control/Constants.java
+++ b/src/main/java/org/baygw/control/Constants.java
@@ -2,17 +2,35 @@
 
 /** Every fixed number of the service, each with its unit and its reason. */
 public final class Constants {
-  /** Parts per zone. Few: each is packed by itself, and a site has 28 machines in one zone. */
-  public static final int PARTS_PER_ZONE = 3;
+  /**
+   * Parts of all zones for each controller of a new deployment: with two, the loss of a controller
+   * spreads over several others, and a part of thirty to forty machines fits into one record.
+   */
+  public static final double PARTS_PER_CONTROLLER = 2;
 
   /** Tasks per progress key. 128 live tasks take about 3 KiB, well inside an 8 KiB value. */
   public static final int CHUNK_TASKS = 128;
 
-  /** Most tasks recorded on one machine: 200 records of about 24 bytes stay under 8 KiB. */
+  /** Most tasks recorded on one machine: a part's record holds some thirty machines in 8 KiB. */
   public static final int MACHINE_TASKS = 200;
 
-  /** Images remembered for a machine: a site has about a dozen, and a name takes ten bytes. */
-  public static final int MACHINE_IMAGES = 16;
+  /** Share of the state service's value limit up to which a part's record takes new tasks. */
+  public static final double ROSTER_FULL = 0.85;
+
+  /** Share of the value limit that ended tasks may take before progress takes them over. */
+  public static final double ROSTER_ENDED = 0.3;
+
+  /** ms between two writes of a part's record while tokens are scarce: what ends meanwhile shares one. */
+  public static final long ROSTER_PACE_MS = 400;
+
+  /** ms between two tries to place what found no room, while nothing else calls for a write. */
+  public static final long PLACE_AGAIN_MS = 100;
+
+  /** Machines' own records deleted in one write of their part's record; the rest waits for the next. */
+  public static final int DELETES_PER_WRITE = 6;
+
+  /** Images remembered for a machine: about as many as its cache holds. */
+  public static final int MACHINE_IMAGES = 20;
 
   /** ms. The core's clock step: fine against second-long aims, cheap at a seventh of a core. */
   public static final long TICK_MS = 20;
@@ -47,20 +65,38 @@
   /** ms a watch stays open at the state service; also bounds how long a dead connection is unseen. */
   public static final long WATCH_WAIT_MS = 8_000;
 
-  /** ms between the openings of two watches: each counts as a request. */
+  /** ms at least between the openings of two watches: each counts as a request. */
   public static final long WATCH_GAP_MS = 50;
 
-  /** ms between two syncs for users' polls; polls in between share one. */
+  /** Share of the state service's requests that all controllers' watches take. */
+  public static final double WATCH_SHARE = 0.3;
+
+  /** ms at least between two syncs for users' polls; polls in between share one. */
   public static final long SYNC_GAP_MS = 40;
 
+  /** Share of the state service's requests that all controllers' syncs take. */
+  public static final double SYNC_SHARE = 0.3;
+
   /** ms for an ordinary state call: its answers take 10 ms, now and then a few hundred. */
   public static final int STATE_TIMEOUT_MS = 1_500;
 
   /** ms before a failed state call is tried again: no busy loop in an outage, back soon after. */
   public static final long STATE_RETRY_MS = 250;
 
-  /** Share of the state service's limits that one controller takes; limits are shared by three. */
-  public static final double STATE_SHARE = 0.5;
+  /** Shares of the state service's limits that the desk's controller takes beside its own one. */
+  public static final double DESK_SHARES = 1;
+
+  /** Times the limit that all shares add up to: seldom do all controllers write at the same time. */
+  public static final double STATE_OVERBOOK = 1.3;
+
+  /** Most of the limits that one controller takes, however few there are. */
+  public static final double STATE_SHARE_MAX = 0.9;
+
+  /** Share of its burst of writes below which a controller draws writes together. */
+  public static final double SCARCE = 0.5;
+
+  /** ms a write that is made up late waits for tokens before its maker is asked anew. */
+  public static final long LATE_WAIT_MS = 5_000;
 
   /** ms a bucket rests after a 429. */
   public static final long BUCKET_REST_MS = 200;
@@ -89,6 +125,12 @@
   /** ms added to a lease before it is held to have run out. */
   public static final long LEASE_MARGIN_MS = 500;
 
+  /**
+   * Reports in a row that show that our answers do not arrive: one answer is now and then lost, and a
+   * report may have been sent before the answer came.
+   */
+  public static final int DEAF_REPORTS = 3;
+
   /** Report periods of silence after which a worker is asked: a period is at most 1.25 of them. */
   public static final double ASK_REPORTS = 1.6;
 
@@ -129,11 +171,14 @@
   public static final long UNGRANT_MS = 4_000;
 
   /** ms between looks over all machines of an owner; what changes is looked at at once. */
-  public static final long LOOK_MS = 250;
+  public static final long LOOK_MS = 400;
 
   /** ms between the desk's passes over the queue. */
   public static final long DESK_PASS_MS = 100;
 
+  /** ms between them while tokens for writes are scarce: more tasks of a job share a grant. */
+  public static final long DESK_SCARCE_MS = 400;
+
   /** Errors on a machine with no completed task in between that make it sick. */
   public static final int SICK_ERRORS = 3;
 
@@ -200,6 +245,12 @@
    */
   public static final long FIRST_MS = 45_000;
 
+  /**
+   * ms after which a job of which nothing runs goes first in any case: users allow four minutes for
+   * the largest jobs to begin, and room for one comes free within a minute or two.
+   */
+  public static final long STARVED_MS = 100_000;
+
   /** ms after which borrowed room is taken back for such a job by stopping tasks. */
   public static final long RECLAIM_MS = 75_000;
 
--- a/src/main/java/org/baygw/control/admin/Admin.java
+++ b/src/main/java/org/baygw/control/admin/Admin.java
@@ -183,7 +183,7 @@
     ArrayNode a = n.putArray("parts");
     for (Part p : membership.parts()) {
       ObjectNode o = a.addObject().put("part", p.toString()).put("owner", membership.owner(p));
-      o.put("granted_tasks", view.granted(p).size());
+      o.put("granted_tasks", view.granted(p));
     }
     return n;
   }
@@ -209,7 +209,7 @@
       meters.gauge("baygw.revision", "Revision the copy has reached", view, View::revision);
       meters.gauge("baygw.machines", "Machines on record", view, v -> v.machines.size());
       meters.gauge("baygw.jobs", "Jobs on record", view, v -> v.jobs.size());
-      meters.gauge("baygw.unmet", "Tasks without room, at the desk", desk, d -> d.unmet().size());
+      meters.gauge("baygw.unmet", "Tasks without room, at the desk", desk, Desk::unmetTasks);
       meters.counter("baygw.rounds", "Rounds searched", workers, w -> w.rounds().searched());
       meters.counter("baygw.rounds.better", "Rounds that improved", workers, w -> w.rounds().found());
       meters.counter("baygw.moves", "Moves planned", workers, w -> w.rounds().planned());
--- a/src/main/java/org/baygw/control/fleet/Fleet.java
+++ b/src/main/java/org/baygw/control/fleet/Fleet.java
@@ -18,6 +18,7 @@
 import org.baygw.control.model.JobSpec;
 import org.baygw.control.model.Machine;
 import org.baygw.control.model.MachineType;
+import org.baygw.control.model.Part;
 import org.baygw.control.model.Records;
 import org.baygw.control.model.TaskId;
 import org.baygw.control.placement.Room;
@@ -82,6 +83,11 @@
   private final Map<String, Long> retryAt = new HashMap<>();
   private final Map<String, Long> silentSince = new HashMap<>();
   private final Set<String> draining = new HashSet<>();
+  private final Map<Part, Map<String, View.Drain>> asked = new HashMap<>();
+  private final Set<Part> busyLists = new HashSet<>();
+
+  /** Machines the cloud has taken back, until that is durable and they are off the list. */
+  private final Set<String> gone = new HashSet<>();
   private boolean returning;
   private long nextReturn;
   private long nextPlan;
@@ -120,6 +126,10 @@
       booking.clear();
       retryAt.clear();
       draining.clear();
+      asked.clear();
+      busyLists.clear();
+      gone.clear();
+      returning = false;
       bookings = 0;
       nextList = now;
       nextTypes = now;
@@ -275,13 +285,13 @@
       if (type != null && !l.status().equals("failed") && !view.machines.containsKey(l.name())
           && !view.drains.containsKey(l.name()) && !draining.contains(l.name())) {
         if (age(l, now) > type.bootS() * Constants.BOOT_GIVE_UP) {
-          drain(l.name(), 0);
+          drain(l.name(), l.zone(), View.Drain.GIVEN_UP);
         } else {
           rooms.add(Room.empty(l.name(), type, l.zone(), l.spot()));
         }
       } else if (l.status().equals("failed") && !view.drains.containsKey(l.name())
           && !draining.contains(l.name())) {
-        drain(l.name(), view.stamp(Keys.machine(l.name())));
+        drain(l.name(), l.zone(), View.Drain.GIVEN_UP);
       }
     }
     expected.forEach(
@@ -302,27 +312,39 @@
     }
     Map<Kind, Integer> wanted = new LinkedHashMap<>();
     for (Desk.Unmet u : desk.unmet()) {
-      boolean found = false;
+      int left = u.count();
       for (Room r : rooms) {
-        if ((u.zone() == null || u.zone().equals(r.machine().zone())) && r.fits(u.spec())) {
-          r.take(u.spec());
-          found = true;
-          break;
+        if (left > 0 && (u.zone() == null || u.zone().equals(r.machine().zone()))) {
+          left = fill(r, u.spec(), left);
         }
       }
-      if (!found) {
+      while (left > 0) {
         Kind kind = choose(u, wanted);
-        if (kind != null && wanted.getOrDefault(kind, 0) < Constants.MAX_RENT) {
-          wanted.merge(kind, 1, Integer::sum);
-          Room r = Room.empty("", view.type(kind.type()), kind.zone(), kind.spot());
-          r.take(u.spec());
-          rooms.add(r);
+        if (kind == null || wanted.getOrDefault(kind, 0) >= Constants.MAX_RENT) {
+          break;
+        }
+        wanted.merge(kind, 1, Integer::sum);
+        Room r = Room.empty("", view.type(kind.type()), kind.zone(), kind.spot());
+        int before = left;
+        left = fill(r, u.spec(), left);
+        rooms.add(r);
+        if (left == before) {
+          break;
         }
       }
     }
     wanted.forEach(this::book);
   }
 
+  /** Puts as many of the tasks there as fit, in thought; returns how many are left. */
+  private static int fill(Room r, JobSpec s, int tasks) {
+    int n = r.capacity(s, tasks);
+    for (int i = 0; i < n; i++) {
+      r.take(s);
+    }
+    return tasks - n;
+  }
+
   private double age(Cloud.Listed l, long now) {
     return l.ageS() + (now - listedAt) / 1000.0;
   }
@@ -406,7 +428,7 @@
       // A sick machine fails what it starts, not what already runs: replicas there are not ended.
       if (m.condition() == Machine.Condition.SICK && !hasReplica(m)
           || m.condition() == Machine.Condition.SILENT && !keep(m, now, cut)) {
-        drain(m.name(), e.stamp());
+        drain(m.name(), m.zone(), View.Drain.GIVEN_UP);
         continue;
       }
       if (m.condition() == Machine.Condition.SILENT
@@ -425,7 +447,7 @@
         keep *= type.price() / type.spotPrice(); // the same cost buys a longer wait
       }
       if (now - since >= keep && (leaving || desk.unmet().isEmpty())) {
-        drain(m.name(), e.stamp());
+        drain(m.name(), m.zone(), View.Drain.IDLE);
       }
     }
   }
@@ -459,65 +481,107 @@
     return false;
   }
 
-  private void drain(String name, long stamp) {
+  private void drain(String name, String zone, View.Drain why) {
+    Part part = Part.of(name, zone, view.partsPerZone());
+    asked.computeIfAbsent(part, k -> new LinkedHashMap<>()).put(name, why);
     draining.add(name);
-    store.settle(
-        Store.Urgency.CANCEL,
+  }
+
+  /**
+   * Writes what was asked of one part's list of leaving machines, in one change. A machine stands
+   * there before it is returned, and until its own record is gone.
+   */
+  private void list(Part part) {
+    Map<String, View.Drain> next = new LinkedHashMap<>(view.drains(part));
+    Map<String, View.Drain> put = asked.remove(part);
+    if (put != null) {
+      put.forEach(next::putIfAbsent);
+    }
+    // That the cloud has taken a machine back is durable before anyone acts on it.
+    next.replaceAll((m, d) -> gone.contains(m) ? View.Drain.GONE : d);
+    next.entrySet()
+        .removeIf(
+            e ->
+                e.getValue() == View.Drain.GONE && !view.machines.containsKey(e.getKey())
+                    || cameToUse(part, e.getKey(), e.getValue()));
+    Set<String> cordons = new HashSet<>(view.cordons);
+    cordons.removeIf(m -> next.containsKey(m) || !view.drains(part).containsKey(m));
+    if (next.equals(view.drains(part))) {
+      if (put != null) {
+        draining.removeAll(put.keySet());
+      }
+      return;
+    }
+    ObjectNode v = Json.object();
+    next.forEach((m, d) -> v.put(m, d.name()));
+    String key = Keys.drain(part);
+    Txn txn =
         new Txn()
             .when(Keys.claim(Keys.DESK), claim)
-            .when(Keys.machine(name), stamp)
-            .when(Keys.drain(name), 0)
-            .put(Keys.drain(name), Json.object().put("gone", false)),
+            .when(key, view.stamp(key))
+            .put(key, v);
+    cordons.forEach(m -> txn.delete(Keys.cordon(m)));
+    busyLists.add(part);
+    store.settle(
+        Store.Urgency.CANCEL,
+        txn,
         Constants.STATE_TIMEOUT_MS,
-        ok -> draining.remove(name));
+        ok -> {
+          busyLists.remove(part);
+          if (put != null) {
+            draining.removeAll(put.keySet());
+          }
+        });
+  }
+
+  /** Whether a machine that was to go because it was idle got a task before that was durable. */
+  private boolean cameToUse(Part part, String name, View.Drain why) {
+    return why == View.Drain.IDLE
+        && settled(part)
+        && !gone.contains(name)
+        && !view.on(name).isEmpty();
+  }
+
+  /** Whether the copy has all that was placed in the part before its list last changed. */
+  private boolean settled(Part part) {
+    return view.revision() >= view.stamp(Keys.drain(part));
   }
 
   /** Returns what is marked; once the cloud said so, that is durable proof that all on it is gone. */
   private void returns(long now) {
     List<String> names = new ArrayList<>();
-    for (Map.Entry<String, View.Entry<View.Drain>> e : view.drains.entrySet()) {
-      if (!e.getValue().value().gone()) {
-        names.add(e.getKey());
-      } else if (!view.machines.containsKey(e.getKey()) && draining.add(e.getKey())) {
-        store.settle(
-            Store.Urgency.MOVE,
-            new Txn()
-                .when(Keys.claim(Keys.DESK), claim)
-                .when(Keys.drain(e.getKey()), e.getValue().stamp())
-                .delete(Keys.drain(e.getKey()))
-                .delete(Keys.cordon(e.getKey())),
-            Constants.STATE_TIMEOUT_MS,
-            ok -> draining.remove(e.getKey()));
+    gone.removeIf(m -> !view.drains.containsKey(m));
+    for (Part part : membership.parts()) {
+      if (busyLists.contains(part)) {
+        continue;
+      }
+      list(part);
+      if (busyLists.contains(part) || !settled(part)) {
+        continue;
       }
+      view.drains(part)
+          .forEach(
+              (name, d) -> {
+                if (d != View.Drain.GONE && !gone.contains(name) && names.size() < Constants.MAX_RETURN) {
+                  names.add(name);
+                }
+              });
     }
     if (names.isEmpty() || returning || now < nextReturn) {
       return;
     }
     returning = true;
-    int most = Math.min(Constants.MAX_RETURN, settings.state().txnOps());
-    List<String> batch = List.copyOf(names.subList(0, Math.min(names.size(), most)));
     cloud.giveBack(
-        batch,
+        names,
         ok -> {
           if (!ok) {
             returning = false;
             nextReturn = clock.now() + Constants.CLOUD_RETRY_MS;
             return;
           }
-          Txn txn = new Txn().when(Keys.claim(Keys.DESK), claim);
-          for (String name : batch) {
-            View.Entry<View.Drain> d = view.drains.get(name);
-            if (d != null) {
-              txn.when(Keys.drain(name), d.stamp())
-                  .put(Keys.drain(name), Json.object().put("gone", true));
-            }
-          }
-          LOG.info("returned {}", batch);
-          store.settle(
-              Store.Urgency.CANCEL,
-              txn,
-              Constants.STATE_TIMEOUT_MS,
-              done -> returning = false);
+          LOG.info("returned {}", names);
+          returning = false;
+          gone.addAll(names);
         });
   }
 }
--- a/src/main/java/org/baygw/control/membership/Membership.java
+++ b/src/main/java/org/baygw/control/membership/Membership.java
@@ -32,8 +32,9 @@
   private final Settings settings;
   private final Store store;
   private final View view;
-  private final List<Part> parts;
+  private List<Part> parts = List.of();
   private final Map<String, Long> firstSeen = new HashMap<>();
+  private final Map<Set<String>, Map<Part, String>> ownersOf = new HashMap<>();
 
   private long hold;
   private boolean busy;
@@ -47,10 +48,14 @@
     this.settings = settings;
     this.store = store;
     this.view = view;
-    this.parts = Part.all(settings.zones());
   }
 
+  /** All parts; none until it is durable how many there are. */
   public List<Part> parts() {
+    int zones = settings.zones().size();
+    if (parts.size() != view.partsPerZone() * zones) {
+      parts = Part.all(settings.zones(), view.partsPerZone());
+    }
     return parts;
   }
 
@@ -95,11 +100,38 @@
     if (!busy && now >= nextTouch) {
       touch();
     }
+    store.share(desk() != 0);
     if (!claiming && now >= nextClaim && view.members.containsKey(settings.label())) {
-      claims();
+      if (view.partsPerZone() == 0) {
+        layOut();
+      } else {
+        claims();
+      }
     }
   }
 
+  /**
+   * Makes the number of parts durable, once and for all: two controllers that counted differently
+   * would look for a machine's tasks in different records.
+   */
+  private void layOut() {
+    int controllers = settings.peers().size() + 1;
+    int perZone =
+        (int)
+            Math.ceil(controllers * Constants.PARTS_PER_CONTROLLER / settings.zones().size());
+    claiming = true;
+    store.txn(
+        Store.Urgency.HOLD,
+        new Txn()
+            .when(Keys.LAYOUT, 0)
+            .put(Keys.LAYOUT, Json.object().put("parts_per_zone", perZone)),
+        Constants.STATE_TIMEOUT_MS,
+        outcome -> {
+          claiming = false;
+          nextClaim = clock.now() + Constants.CLAIM_LOOK_MS;
+        });
+  }
+
   private void join() {
     busy = true;
     View.Entry<View.Member> before = view.members.get(settings.label());
@@ -191,15 +223,17 @@
     List<String> wanted = new ArrayList<>();
     Txn take = new Txn();
     Txn give = new Txn();
-    for (Part p : parts) {
-      String best = best(p.toString(), p.zone(), view.members.keySet());
+    Map<Part, String> now = owners(view.members.keySet());
+    Map<Part, String> settled = owners(settled());
+    for (Part p : parts()) {
+      String best = now.get(p);
       View.Entry<View.Claim> c = view.claims.get(p.toString());
       if (c == null) {
         if (settings.label().equals(best)) {
           wanted.add(p.toString());
         }
       } else if (owned(p) != 0
-          && !settings.label().equals(best(p.toString(), p.zone(), settled()))
+          && !settings.label().equals(settled.get(p))
           && give.writes() == 0) {
         give.when(Keys.claim(p.toString()), c.stamp()).delete(Keys.claim(p.toString()));
       }
@@ -243,7 +277,45 @@
     return out;
   }
 
-  /** Rendezvous hashing: the same answer at every controller that sees the same members. */
+  /**
+   * Who is to hold which part: by rendezvous hashing, each controller at most its even share of a
+   * zone's parts. The same answer at every controller that sees the same members.
+   */
+  private Map<Part, String> owners(Set<String> among) {
+    if (ownersOf.size() > 8) {
+      ownersOf.clear();
+    }
+    Set<String> key = new HashSet<>();
+    among.forEach(
+        m -> key.add(m + "|" + (view.members.containsKey(m) ? view.members.get(m).value().zone() : "")));
+    key.add(String.valueOf(view.partsPerZone()));
+    return ownersOf.computeIfAbsent(key, k -> share(among));
+  }
+
+  private Map<Part, String> share(Set<String> among) {
+    Map<Part, String> out = new HashMap<>();
+    Map<String, Integer> has = new HashMap<>();
+    for (String zone : settings.zones()) {
+      Set<String> near = new HashSet<>(among);
+      near.removeIf(
+          m -> !view.members.containsKey(m) || !view.members.get(m).value().zone().equals(zone));
+      Set<String> able = near.isEmpty() ? among : near;
+      int most = (view.partsPerZone() + able.size() - 1) / Math.max(1, able.size());
+      has.clear();
+      for (int i = 0; i < view.partsPerZone(); i++) {
+        Part p = new Part(zone, i);
+        Set<String> free = new HashSet<>(able);
+        free.removeIf(m -> has.getOrDefault(m, 0) >= most);
+        String best = best(p.toString(), zone, free);
+        if (best != null) {
+          out.put(p, best);
+          has.merge(best, 1, Integer::sum);
+        }
+      }
+    }
+    return out;
+  }
+
   private String best(String claim, String zone, Set<String> among) {
     String best = null;
     boolean bestNear = false;
--- a/src/main/java/org/baygw/control/model/Machine.java
+++ b/src/main/java/org/baygw/control/model/Machine.java
@@ -7,8 +7,8 @@
 import org.baygw.control.Constants;
 
 /**
- * A machine's record: what it is, every task that may be on it, with its attempt, and the images it
- * probably has.
+ * A machine: what it is (its own record), every task that may be on it, with its attempt, and its
+ * condition (its part's record), and the images it probably has (known by watching).
  */
 public record Machine(
     String name,
--- a/src/main/java/org/baygw/control/model/Progress.java
+++ b/src/main/java/org/baygw/control/model/Progress.java
@@ -26,6 +26,11 @@
     return p;
   }
 
+  public boolean isLive(int index, int attempt) {
+    Live l = live.get(index);
+    return l != null && l.attempt() == attempt;
+  }
+
   /** Grants a task and returns its attempt. */
   public int grant(int index, Part part) {
     Integer last = tried.remove(index);
--- /dev/null
+++ b/src/main/java/org/baygw/control/model/Roster.java
@@ -0,0 +1,133 @@
+package org.baygw.control.model;
+
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.TreeMap;
+
+/**
+ * A part's record: the tasks that may be on each of its machines, the machines that are not fit for
+ * more, and the tasks that have ended there but stand in their job's progress still. Lists of tasks
+ * are kept as text, so that a reader looks only into those that changed.
+ */
+public record Roster(
+    Map<String, String> on,
+    Map<String, String> conditions,
+    Map<String, String> done,
+    Map<String, String> back) {
+
+  public static final Roster EMPTY = new Roster(Map.of(), Map.of(), Map.of(), Map.of());
+
+  /** What an entry takes beside its name and its text, in bytes: quotes, colon, comma. */
+  private static final int ENTRY_BYTES = 6;
+
+  /** A copy to be changed. */
+  public Roster copy() {
+    return new Roster(
+        new LinkedHashMap<>(on),
+        new LinkedHashMap<>(conditions),
+        new LinkedHashMap<>(done),
+        new LinkedHashMap<>(back));
+  }
+
+  /** About how many bytes the record takes. */
+  public int size() {
+    return size(on) + size(conditions) + endedSize();
+  }
+
+  /** About how many bytes of it are ended tasks, which go when their jobs' progress has them. */
+  public int endedSize() {
+    return size(done) + size(back);
+  }
+
+  private static int size(Map<String, String> m) {
+    int n = 0;
+    for (Map.Entry<String, String> e : m.entrySet()) {
+      n += e.getKey().length() + e.getValue().length() + ENTRY_BYTES;
+    }
+    return n;
+  }
+
+  /** Tasks with their attempts as text: "job:0-3,7*2 job:1", an attempt of 1 left out. */
+  public static String tasks(Map<TaskId, Integer> tasks) {
+    Map<String, TreeMap<Integer, Integer>> jobs = new LinkedHashMap<>();
+    tasks.forEach(
+        (t, attempt) ->
+            jobs.computeIfAbsent(t.job(), k -> new TreeMap<>()).put(t.index(), attempt));
+    StringBuilder b = new StringBuilder();
+    jobs.forEach(
+        (job, list) -> {
+          if (b.length() > 0) {
+            b.append(' ');
+          }
+          b.append(job).append(':').append(indexes(list));
+        });
+    return b.toString();
+  }
+
+  public static Map<TaskId, Integer> tasks(String text) {
+    Map<TaskId, Integer> out = new LinkedHashMap<>();
+    if (text != null && !text.isEmpty()) {
+      for (String group : text.split(" ")) {
+        int colon = group.indexOf(':');
+        String job = group.substring(0, colon);
+        indexes(group.substring(colon + 1)).forEach((i, a) -> out.put(new TaskId(job, i), a));
+      }
+    }
+    return out;
+  }
+
+  /** Indexes with a number each, as text: "0-3,7*2"; runs of one number are drawn together. */
+  public static String indexes(TreeMap<Integer, Integer> list) {
+    StringBuilder b = new StringBuilder();
+    int from = -1;
+    int to = -1;
+    int attempt = 0;
+    for (Map.Entry<Integer, Integer> e : list.entrySet()) {
+      if (from >= 0 && e.getKey() == to + 1 && e.getValue() == attempt) {
+        to++;
+        continue;
+      }
+      append(b, from, to, attempt);
+      from = e.getKey();
+      to = from;
+      attempt = e.getValue();
+    }
+    append(b, from, to, attempt);
+    return b.toString();
+  }
+
+  private static void append(StringBuilder b, int from, int to, int attempt) {
+    if (from < 0) {
+      return;
+    }
+    if (b.length() > 0) {
+      b.append(',');
+    }
+    b.append(from);
+    if (to > from) {
+      b.append('-').append(to);
+    }
+    if (attempt != 1) {
+      b.append('*').append(attempt);
+    }
+  }
+
+  public static TreeMap<Integer, Integer> indexes(String text) {
+    TreeMap<Integer, Integer> out = new TreeMap<>();
+    if (text == null || text.isEmpty()) {
+      return out;
+    }
+    for (String item : text.split(",")) {
+      int star = item.indexOf('*');
+      int attempt = star < 0 ? 1 : Integer.parseInt(item.substring(star + 1));
+      String range = star < 0 ? item : item.substring(0, star);
+      int dash = range.indexOf('-');
+      int from = Integer.parseInt(dash < 0 ? range : range.substring(0, dash));
+      int to = dash < 0 ? from : Integer.parseInt(range.substring(dash + 1));
+      for (int i = from; i <= to; i++) {
+        out.put(i, attempt);
+      }
+    }
+    return out;
+  }
+}
--- a/src/main/java/org/baygw/control/placement/Room.java
+++ b/src/main/java/org/baygw/control/placement/Room.java
@@ -1,7 +1,9 @@
 package org.baygw.control.placement;
 
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.baygw.control.Constants;
 import org.baygw.control.model.Job;
 import org.baygw.control.model.JobSpec;
@@ -18,13 +20,18 @@
   private double gpus;
   private double memoryGb;
   private int tasks;
-  private final java.util.Set<String> jobs = new java.util.HashSet<>();
+  private Set<String> jobs = new HashSet<>();
+  private boolean shared;
 
   private Room(Machine machine, MachineType type) {
+    this(machine, type.cpus(), type.gpus(), type.memoryGb());
+  }
+
+  private Room(Machine machine, double cpus, double gpus, double memoryGb) {
     this.machine = machine;
-    this.cpus = type.cpus();
-    this.gpus = type.gpus();
-    this.memoryGb = type.memoryGb();
+    this.cpus = cpus;
+    this.gpus = gpus;
+    this.memoryGb = memoryGb;
   }
 
   /** Returns null for a machine of an unknown type. */
@@ -55,10 +62,20 @@
             Machine.Condition.OK,
             Map.of(),
             List.of(),
-            Part.of(name, zone)),
+            new Part(zone, 0)),
         type);
   }
 
+  /** The same room, to be changed apart from this one. */
+  Room copy() {
+    Room r = new Room(machine, cpus, gpus, memoryGb);
+    r.tasks = tasks;
+    r.jobs = jobs;
+    r.shared = true;
+    shared = true;
+    return r;
+  }
+
   public Machine machine() {
     return machine;
   }
@@ -118,6 +135,26 @@
     gpus -= s.gpus();
     memoryGb -= s.memoryGb();
     tasks++;
+    if (shared) {
+      jobs = new HashSet<>(jobs);
+      shared = false;
+    }
     jobs.add(s.id());
   }
+
+  /** How many tasks of this job fit, up to so many. */
+  public int capacity(JobSpec s, int most) {
+    if (!fits(s)) {
+      return 0;
+    }
+    int n = s.service() ? 1 : most;
+    n = Math.min(n, Constants.MACHINE_TASKS - tasks);
+    n = least(n, cpus, s.cpus());
+    n = least(n, gpus, s.gpus());
+    return least(n, memoryGb, s.memoryGb());
+  }
+
+  private static int least(int n, double free, double each) {
+    return each <= 0 ? n : Math.min(n, (int) ((free + Constants.EPS) / each));
+  }
 }
--- /dev/null
+++ b/src/main/java/org/baygw/control/placement/Rooms.java
@@ -0,0 +1,35 @@
+package org.baygw.control.placement;
+
+import java.util.HashMap;
+import java.util.Map;
+import org.baygw.control.model.Machine;
+import org.baygw.control.store.View;
+
+/** The free room of machines, worked out anew only for those that changed. */
+public final class Rooms {
+  private record Known(Machine machine, Room room) {}
+
+  private final View view;
+  private final Map<String, Known> known = new HashMap<>();
+
+  public Rooms(View view) {
+    this.view = view;
+  }
+
+  /** A room to be changed in thought; null for a machine of an unknown type. */
+  public Room of(Machine m) {
+    Known k = known.get(m.name());
+    if (k == null || k.machine() != m) {
+      Room r = Room.of(view, m);
+      if (r == null) {
+        return null;
+      }
+      if (known.size() > 2 * view.machines.size() + 16) {
+        known.keySet().retainAll(view.machines.keySet());
+      }
+      k = new Known(m, r);
+      known.put(m.name(), k);
+    }
+    return k.room().copy();
+  }
+}
--- a/src/main/java/org/baygw/control/quota/Desk.java
+++ b/src/main/java/org/baygw/control/quota/Desk.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -20,8 +21,10 @@
 import org.baygw.control.model.Part;
 import org.baygw.control.model.Progress;
 import org.baygw.control.model.Records;
+import org.baygw.control.model.Roster;
 import org.baygw.control.model.TaskId;
 import org.baygw.control.placement.Room;
+import org.baygw.control.placement.Rooms;
 import org.baygw.control.store.Keys;
 import org.baygw.control.store.Store;
 import org.baygw.control.store.Txn;
@@ -34,8 +37,8 @@
  * against its team until its part's owner has proved it gone.
  */
 public final class Desk {
-  /** A task that found no room now; zone is null where any will do. */
-  public record Unmet(JobSpec spec, String zone, boolean reclaims) {}
+  /** Tasks of a job that found no room now; zone is null where any will do. */
+  public record Unmet(JobSpec spec, String zone, boolean reclaims, int count) {}
 
   private static final Logger LOG = LoggerFactory.getLogger(Desk.class);
 
@@ -57,6 +60,13 @@
   /** When this desk granted what is live; a former desk's grants count as old. */
   private final Map<TaskId, Long> grantedAt = new HashMap<>();
 
+  private static final int MAX_FOLDS = 4;
+
+  private final Rooms rooms;
+
+  /** Shapes of tasks that found no room in this pass. */
+  private final Set<String> full = new HashSet<>();
+
   private List<Unmet> unmet = List.of();
   private long nextPass;
   private long seenChanges = -1;
@@ -72,17 +82,31 @@
     }
   }
 
-  /** A job with tasks that wait; idleMs is its age if it is within a guarantee and nothing has started. */
+  /** A job with tasks that wait; idleMs is its age if nothing of it has started. */
   private record Queued(
       String id,
       JobSpec spec,
+      long acceptedMs,
       long stamp,
       boolean guaranteed,
       long idleMs,
       int late,
       double work,
       int pending,
-      int[] zoneLive) {}
+      int[] zoneLive) {
+
+    /**
+     * Whether it waited long enough with nothing started to go before the others: soon within a
+     * guarantee, and later in any case, or large jobs would never begin while small ones come.
+     */
+    boolean first() {
+      return idleMs > (guaranteed ? Constants.FIRST_MS : Constants.STARVED_MS);
+    }
+
+    boolean reclaims() {
+      return guaranteed && idleMs > Constants.RECLAIM_MS;
+    }
+  }
 
   public Desk(Clock clock, Settings settings, Store store, View view, Membership membership) {
     this.clock = clock;
@@ -90,6 +114,7 @@
     this.store = store;
     this.view = view;
     this.membership = membership;
+    this.rooms = new Rooms(view);
   }
 
   /** Tasks that need machines which are not there. */
@@ -97,6 +122,10 @@
     return unmet;
   }
 
+  public int unmetTasks() {
+    return unmet.stream().mapToInt(Unmet::count).sum();
+  }
+
   public void tick() {
     long now = clock.now();
     if (!store.loaded() || membership.desk() == 0) {
@@ -106,7 +135,7 @@
     if (now < nextPass || view.changes() == seenChanges && now < nextPass + 1000) {
       return;
     }
-    nextPass = now + Constants.DESK_PASS_MS;
+    nextPass = now + (store.scarce() ? Constants.DESK_SCARCE_MS : Constants.DESK_PASS_MS);
     seenChanges = view.changes();
     pass();
   }
@@ -119,14 +148,16 @@
     Map<String, Double> demand = new HashMap<>();
     guaranteed.clear();
     List<Queued> queue = new ArrayList<>();
-    for (Map.Entry<String, View.Entry<Job>> e : view.jobs.entrySet()) {
-      String id = e.getKey();
-      Job job = e.getValue().value();
+    List<View.Entry<Job>> jobs = new ArrayList<>(view.active.values());
+    jobs.sort(
+        Comparator.comparing((View.Entry<Job> e) -> e.value().acceptedMs())
+            .thenComparing(e -> e.value().spec().id()));
+    for (View.Entry<Job> e : jobs) {
+      Job job = e.value();
+      JobSpec s = job.spec();
+      String id = s.id();
       TreeMap<Integer, View.Entry<Progress>> chunks = view.progress.get(id);
-      if (chunks == null && !job.open()) {
-        continue;
-      }
-      Use u = use.get(job.spec().team());
+      Use u = use.get(s.team());
       int live = 0;
       int done = 0;
       int[] zoneLive = new int[settings.zones().size()];
@@ -134,71 +165,69 @@
         for (View.Entry<Progress> p : chunks.values()) {
           live += p.value().live.size();
           done += p.value().done.cardinality();
-          for (Progress.Live l : p.value().live.values()) {
-            int z = settings.zones().indexOf(l.part().zone());
-            if (z >= 0) {
-              zoneLive[z]++;
-            }
+          if (s.spread() || s.oneZone()) {
+            count(p.value(), zoneLive);
           }
         }
       }
       if (u != null) {
-        u.add(job.spec(), live + busy.getOrDefault(id, 0));
+        u.add(s, live + busy.getOrDefault(id, 0));
       }
       if (!job.open()) {
-        if (live == 0 && !busy.containsKey(id)) {
+        if (live == 0 && chunks != null && !busy.containsKey(id)) {
           clean(id, chunks);
         }
         continue;
       }
-      if (done == job.spec().tasks()) {
+      if (done == s.tasks()) {
         if (!busy.containsKey(id)) {
-          finish(id, e.getValue());
+          finish(id, e);
         }
         continue;
       }
-      Settings.Team team = settings.team(job.spec().team());
+      Settings.Team team = settings.team(s.team());
       if (team == null) {
         continue;
       }
-      double sum =
-          demand.merge(
-              team.name(), (job.spec().tasks() - done) * job.spec().cpus(), Double::sum);
+      double sum = demand.merge(team.name(), (s.tasks() - done) * s.cpus(), Double::sum);
       if (sum <= team.cpus() + Constants.EPS) {
         guaranteed.add(id);
       }
-      int pending = job.spec().tasks() - done - live;
+      int pending = s.tasks() - done - live;
       if (pending > 0 && !busy.containsKey(id)) {
+        long idle = live + done == 0 ? clock.wall() - job.acceptedMs() : 0;
         queue.add(
             new Queued(
                 id,
-                job.spec(),
-                e.getValue().stamp(),
+                s,
+                job.acceptedMs(),
+                e.stamp(),
                 guaranteed.contains(id),
-                guaranteed.contains(id) && live + done == 0
-                    ? clock.wall() - job.acceptedMs()
-                    : 0,
+                idle,
                 late(job),
-                (job.spec().tasks() - done) * job.spec().cpus() * job.spec().estimateS(),
+                (s.tasks() - done) * s.cpus() * s.estimateS(),
                 pending,
                 zoneLive));
       }
     }
+    fold();
     queue.sort(
         Comparator.comparing(
                 (Queued q) -> q.spec().priority() == JobSpec.Priority.PRODUCTION ? 0 : 1)
             // First what may stop others, or the room would go to the next in line and be taken again.
-            .thenComparing(q -> q.idleMs() > Constants.FIRST_MS ? 0 : 1)
+            .thenComparing(q -> q.first() ? 0 : 1)
             .thenComparing(q -> q.guaranteed() ? 0 : 1)
             // More jobs are in time if those that can no longer be, and the long ones, let others pass.
             .thenComparing(Queued::late)
             .thenComparing(q -> q.spec().priority())
             .thenComparing(Queued::work)
-            .thenComparing(Queued::stamp));
-    Map<Part, List<Room>> rooms = rooms();
+            .thenComparing(Queued::acceptedMs)
+            .thenComparing(Queued::id));
+    Map<Part, List<Room>> free = rooms();
     List<Unmet> left = new ArrayList<>();
+    full.clear();
     for (Queued q : queue) {
-      serve(q, rooms, use.get(q.spec().team()), left);
+      serve(q, free, use.get(q.spec().team()), left);
     }
     grantedAt.keySet().removeIf(t -> !live(t) && !busy.containsKey(t.job()));
     stopping.removeIf(t -> !live(t));
@@ -206,6 +235,54 @@
     unmet = left;
   }
 
+  private void count(Progress p, int[] zoneLive) {
+    for (Progress.Live l : p.live.values()) {
+      int z = settings.zones().indexOf(l.part().zone());
+      if (z >= 0) {
+        zoneLive[z]++;
+      }
+    }
+  }
+
+  /**
+   * Takes ended tasks over into their jobs' progress where a part's record grows large. Elsewhere
+   * that costs no write: it comes with the job's next grant, or the job is done first.
+   */
+  private void fold() {
+    int limit = (int) (settings.state().valueKb() * 1024 * Constants.ROSTER_ENDED);
+    for (Part part : membership.parts()) {
+      Roster r = view.roster(part);
+      if (r.endedSize() <= limit) {
+        continue;
+      }
+      Set<String> jobs = new LinkedHashSet<>(r.done().keySet());
+      jobs.addAll(r.back().keySet());
+      for (String id : jobs) {
+        View.Entry<Job> j = view.jobs.get(id);
+        TreeMap<Integer, View.Entry<Progress>> chunks = view.progress.get(id);
+        if (j == null || chunks == null || busy.containsKey(id) || busy.size() > MAX_FOLDS) {
+          continue;
+        }
+        Txn txn = new Txn().when(Keys.claim(Keys.DESK), membership.desk());
+        chunks.forEach(
+            (c, p) -> {
+              Progress written = view.written(id, c);
+              boolean more =
+                  written != null
+                      && (written.live.size() != p.value().live.size()
+                          || !written.done.equals(p.value().done));
+              if (more && txn.writes() < settings.state().txnOps()) {
+                String key = Keys.progress(id, c);
+                txn.when(key, view.stamp(key)).put(key, Records.progress(p.value()));
+              }
+            });
+        if (txn.writes() > 0) {
+          write(id, 0, Store.Urgency.GRANT, txn);
+        }
+      }
+    }
+  }
+
   /** A task that could be stopped to make room. */
   private record Victim(TaskId task, JobSpec spec, double cost) {}
 
@@ -218,7 +295,7 @@
     Map<Room, List<Victim>> rooms = null;
     Map<String, List<Victim>> stops = new LinkedHashMap<>();
     int stopped = 0;
-    for (var it = left.iterator(); it.hasNext() && stopped < Constants.PREEMPT_PER_PASS; ) {
+    for (var it = left.listIterator(); it.hasNext() && stopped < Constants.PREEMPT_PER_PASS; ) {
       Unmet u = it.next();
       if (u.spec().priority() != JobSpec.Priority.PRODUCTION && !u.reclaims()) {
         continue;
@@ -226,42 +303,62 @@
       if (rooms == null) {
         rooms = victims();
       }
-      List<Victim> chosen = null;
-      Room at = null;
-      double least = Double.POSITIVE_INFINITY;
-      for (Map.Entry<Room, List<Victim>> e : rooms.entrySet()) {
-        Room r = e.getKey();
-        if (u.zone() != null && !u.zone().equals(r.machine().zone())) {
-          continue;
-        }
-        List<Victim> need = needed(u, r, e.getValue(), use);
-        if (need != null) {
-          double cost =
-              r.machine().images().contains(u.spec().image()) ? 0 : Constants.COLD_COST_S;
-          for (Victim v : need) {
-            cost += v.cost();
-          }
-          if (cost < least) {
-            least = cost;
-            chosen = need;
-            at = r;
-          }
+      int count = u.count();
+      while (count > 0 && stopped < Constants.PREEMPT_PER_PASS) {
+        int n = makeRoom(u, rooms, use, stops);
+        if (n < 0) {
+          break;
         }
+        stopped += n;
+        count--;
+      }
+      if (count == 0) {
+        it.remove();
+      } else {
+        it.set(new Unmet(u.spec(), u.zone(), u.reclaims(), count));
       }
-      if (chosen == null) {
+    }
+    stops.forEach(this::stop);
+  }
+
+  /** Chooses what to stop for one task; returns how many that are, or -1 where nothing helps. */
+  private int makeRoom(
+      Unmet u,
+      Map<Room, List<Victim>> rooms,
+      Map<String, Use> use,
+      Map<String, List<Victim>> stops) {
+    List<Victim> chosen = null;
+    Room at = null;
+    double least = Double.POSITIVE_INFINITY;
+    for (Map.Entry<Room, List<Victim>> e : rooms.entrySet()) {
+      Room r = e.getKey();
+      if (u.zone() != null && !u.zone().equals(r.machine().zone())) {
         continue;
       }
-      it.remove();
-      for (Victim v : chosen) {
-        at.free(v.spec());
-        rooms.get(at).remove(v);
-        use.get(v.spec().team()).add(v.spec(), -1);
-        stops.computeIfAbsent(v.task().job(), k -> new ArrayList<>()).add(v);
-        stopped++;
+      List<Victim> need = needed(u, r, e.getValue(), use);
+      if (need != null) {
+        double cost = r.machine().images().contains(u.spec().image()) ? 0 : Constants.COLD_COST_S;
+        for (Victim v : need) {
+          cost += v.cost();
+        }
+        if (cost < least) {
+          least = cost;
+          chosen = need;
+          at = r;
+        }
       }
-      at.take(u.spec());
     }
-    stops.forEach(this::stop);
+    if (chosen == null) {
+      return -1;
+    }
+    for (Victim v : chosen) {
+      at.free(v.spec());
+      rooms.get(at).remove(v);
+      use.get(v.spec().team()).add(v.spec(), -1);
+      stops.computeIfAbsent(v.task().job(), k -> new ArrayList<>()).add(v);
+    }
+    at.take(u.spec());
+    return chosen.size();
   }
 
   private boolean live(TaskId t) {
@@ -273,7 +370,7 @@
     Map<Room, List<Victim>> out = new LinkedHashMap<>();
     for (View.Entry<Machine> e : view.machines.values()) {
       Machine m = e.value();
-      Room r = Room.of(view, m);
+      Room r = rooms.of(m);
       if (r == null || m.condition() != Machine.Condition.OK
           || view.drains.containsKey(m.name()) || membership.owner(m.part()) == null) {
         continue;
@@ -385,85 +482,139 @@
 
   /** What the parts have free, less the tasks granted to them that are on no machine yet. */
   private Map<Part, List<Room>> rooms() {
-    Map<Part, List<Room>> rooms = new TreeMap<>();
-    for (View.Entry<Machine> e : view.machines.values()) {
-      Machine m = e.value();
-      if (m.condition() == Machine.Condition.OK && !view.drains.containsKey(m.name())
-          && membership.owner(m.part()) != null) {
-        Room r = Room.of(view, m);
+    Map<Part, List<Room>> free = new TreeMap<>();
+    for (Part part : membership.parts()) {
+      if (membership.owner(part) == null || view.roster(part).size() > rosterFull()) {
+        continue;
+      }
+      List<Room> list = new ArrayList<>();
+      for (String name : view.machinesOf(part)) {
+        Machine m = view.machines.get(name).value();
+        Room r =
+            m.condition() == Machine.Condition.OK && !view.drains.containsKey(name)
+                ? rooms.of(m)
+                : null;
         if (r != null) {
-          rooms.computeIfAbsent(m.part(), k -> new ArrayList<>()).add(r);
+          list.add(r);
         }
       }
-    }
-    rooms.forEach(
-        (part, list) -> {
-          for (TaskId t : view.unplaced(part)) {
-            View.Entry<Job> j = view.jobs.get(t.job());
-            if (j != null) {
-              for (Room r : list) {
-                if (r.fits(j.value().spec())) {
-                  r.take(j.value().spec());
-                  break;
-                }
-              }
+      Room last = null;
+      for (TaskId t : view.unplaced(part)) {
+        View.Entry<Job> j = view.jobs.get(t.job());
+        if (j == null) {
+          continue;
+        }
+        JobSpec s = j.value().spec();
+        if (last == null || !last.fits(s)) {
+          last = null;
+          for (Room r : list) {
+            if (r.fits(s)) {
+              last = r;
+              break;
             }
           }
-        });
-    return rooms;
+        }
+        if (last != null) {
+          last.take(s);
+        }
+      }
+      if (!list.isEmpty()) {
+        free.put(part, list);
+      }
+    }
+    return free;
+  }
+
+  private int rosterFull() {
+    return (int) (settings.state().valueKb() * 1024 * Constants.ROSTER_FULL);
+  }
+
+  /** What a job asks for of a machine: where one found no room, its like need not look in this pass. */
+  private static String shape(JobSpec s, String only) {
+    return s.cpus() + " " + s.gpus() + " " + s.memoryGb() + " " + s.spot() + " " + s.types() + " "
+        + only;
   }
 
   private void serve(Queued q, Map<Part, List<Room>> rooms, Use use, List<Unmet> left) {
     JobSpec s = q.spec();
     Settings.Team team = settings.team(s.team());
-    Map<Integer, Progress> next = new LinkedHashMap<>();
     int[] zoneLive = q.zoneLive().clone();
+    int allowed = q.pending();
+    allowed = least(allowed, team.cpusMax() - use.cpus, s.cpus());
+    allowed = least(allowed, team.gpusMax() - use.gpus, s.gpus());
+    if (allowed <= 0) {
+      return;
+    }
+    Map<Integer, Progress> next = new LinkedHashMap<>();
     int granted = 0;
-    int wanting = q.pending();
+    String shape = shape(s, onlyZone(s, zoneLive));
+    boolean none = full.contains(shape);
     int chunks = (s.tasks() + Constants.CHUNK_TASKS - 1) / Constants.CHUNK_TASKS;
-    boolean full = false;
+    Place place = null;
     outer:
-    for (int c = 0; c < chunks && wanting > 0; c++) {
+    for (int c = 0; c < chunks && !none; c++) {
+      if (next.size() >= settings.state().txnOps() / 2) {
+        break;
+      }
       Progress now = view.progress(q.id(), c);
       int to = Math.min(s.tasks(), (c + 1) * Constants.CHUNK_TASKS);
-      for (int i = c * Constants.CHUNK_TASKS; i < to && wanting > 0; i++) {
+      for (int i = c * Constants.CHUNK_TASKS; i < to; i++) {
         if (now != null && (now.done.get(i) || now.live.containsKey(i))) {
           continue;
         }
-        if (use.cpus + s.cpus() > team.cpusMax() + Constants.EPS
-            || use.gpus + s.gpus() > team.gpusMax() + Constants.EPS) {
+        if (granted >= allowed) {
           break outer;
         }
-        Part part = full ? null : roomiest(rooms, s, zoneLive);
-        if (part == null) {
-          full = true;
-          if (left.size() > 2_000) {
-            break outer;
+        boolean again = place != null && !s.service() && !s.spread() && place.room().fits(s);
+        place = again ? place : roomiest(rooms, s, zoneLive);
+        if (place == null) {
+          none = true;
+          if (!s.service() && !s.spread() && !s.oneZone()) {
+            full.add(shape);
           }
-          use.add(s, 1); // in thought: what is rented for must also be allowed to run
-          left.add(new Unmet(s, zoneFor(s, zoneLive), q.idleMs() > Constants.RECLAIM_MS));
-        } else if (next.containsKey(c) || next.size() < settings.state().txnOps() / 2) {
-          use.add(s, 1);
-          Progress p =
-              next.computeIfAbsent(c, k -> now == null ? new Progress() : now.copy());
-          p.grant(i, part);
-          grantedAt.put(new TaskId(q.id(), i), clock.now());
-          zoneLive[settings.zones().indexOf(part.zone())]++;
-          granted++;
+          break outer;
         }
-        wanting--;
+        place.room().take(s);
+        Progress p = next.computeIfAbsent(c, k -> now == null ? new Progress() : now.copy());
+        p.grant(i, place.part());
+        grantedAt.put(new TaskId(q.id(), i), clock.now());
+        zoneLive[settings.zones().indexOf(place.part().zone())]++;
+        granted++;
       }
     }
+    use.add(s, granted);
+    if (none && granted < allowed) {
+      unmet(q, allowed - granted, zoneLive, left);
+      use.add(s, allowed - granted); // in thought: what is rented for must also be allowed to run
+    }
     if (granted > 0) {
       grant(q, next, granted);
     }
   }
 
+  private void unmet(Queued q, int count, int[] zoneLive, List<Unmet> left) {
+    JobSpec s = q.spec();
+    if (!s.spread() && !s.oneZone()) {
+      left.add(new Unmet(s, s.zone(), q.reclaims(), count));
+      return;
+    }
+    Map<String, Integer> zones = new LinkedHashMap<>();
+    for (int i = 0; i < count; i++) {
+      zones.merge(zoneFor(s, zoneLive), 1, Integer::sum);
+    }
+    zones.forEach((zone, n) -> left.add(new Unmet(s, zone, q.reclaims(), n)));
+  }
+
+  private static int least(int n, double free, double each) {
+    return each <= 0 ? n : (int) Math.min(n, Math.floor((free + Constants.EPS) / each));
+  }
+
+  private record Place(Part part, Room room) {}
+
   /** The part with the most free room among those that have a machine for the task. */
-  private Part roomiest(Map<Part, List<Room>> rooms, JobSpec s, int[] zoneLive) {
+  private Place roomiest(Map<Part, List<Room>> rooms, JobSpec s, int[] zoneLive) {
     String only = onlyZone(s, zoneLive);
-    Part best = null;
-    Room bestRoom = null;
+    Place best = null;
     double most = -1;
     int bestRank = -1;
     for (Map.Entry<Part, List<Room>> e : rooms.entrySet()) {
@@ -478,22 +629,19 @@
       for (Room r : e.getValue()) {
         if (r.fits(s)) {
           free += r.tasks() > 0 ? r.freeCpus() : 0;
-          if (r.rank(s) > rank || r.rank(s) == rank && !s.service()) {
+          int score = r.rank(s);
+          if (score > rank || score == rank && !s.service()) {
             fit = r;
-            rank = r.rank(s);
+            rank = score;
           }
         }
       }
       if (fit != null && (rank > bestRank || rank == bestRank && free > most)) {
-        best = e.getKey();
-        bestRoom = fit;
+        best = new Place(e.getKey(), fit);
         most = free;
         bestRank = rank;
       }
     }
-    if (bestRoom != null) {
-      bestRoom.take(s);
-    }
     return best;
   }
 
--- a/src/main/java/org/baygw/control/store/Keys.java
+++ b/src/main/java/org/baygw/control/store/Keys.java
@@ -1,5 +1,7 @@
 package org.baygw.control.store;
 
+import org.baygw.control.model.Part;
+
 /** Names of the keys in the state service. */
 public final class Keys {
   public static final String ROOT = "b/";
@@ -7,6 +9,9 @@
   public static final String PARAMS = ROOT + "params";
   public static final String DESK = "desk";
 
+  /** How many parts a zone has; written once. */
+  public static final String LAYOUT = ROOT + "layout";
+
   public static String job(String id) {
     return ROOT + "job/" + id;
   }
@@ -16,7 +21,12 @@
   }
 
   public static String machine(String name) {
-    return ROOT + "run/" + name;
+    return ROOT + "machine/" + name;
+  }
+
+  /** The tasks on a part's machines. */
+  public static String roster(Part part) {
+    return ROOT + "run/" + part;
   }
 
   public static String claim(String name) {
@@ -31,8 +41,9 @@
     return ROOT + "rent/" + booking;
   }
 
-  public static String drain(String machine) {
-    return ROOT + "drain/" + machine;
+  /** The machines of a part that are on their way out. */
+  public static String drain(Part part) {
+    return ROOT + "drain/" + part;
   }
 
   /** An operator wants the machine emptied and returned. */
--- a/src/main/java/org/baygw/control/store/Store.java
+++ b/src/main/java/org/baygw/control/store/Store.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 import org.HdrHistogram.Histogram;
 import org.baygw.control.Constants;
 import org.baygw.control.config.Settings;
@@ -27,8 +28,8 @@
   public enum Urgency {
     HOLD,
     CANCEL,
-    LAUNCH,
     SUBMIT,
+    LAUNCH,
     GRANT,
     MOVE
   }
@@ -52,7 +53,9 @@
       int writes,
       long deadline,
       long timeout,
-      Outbox.Callback then) {}
+      Outbox.Callback then,
+      Supplier<Txn> late,
+      Consumer<Txn> send) {}
 
   private static final Logger LOG = LoggerFactory.getLogger(Store.class);
 
@@ -60,8 +63,11 @@
   private final Outbox out;
   private final String addr;
   private final View view;
+  private final Settings settings;
   private final TokenBucket requests;
   private final TokenBucket writes;
+  private final long watchGapMs;
+  private final long syncGapMs;
   private final List<Deque<Waiting>> queues = new ArrayList<>();
 
   private final Histogram writeMs =
@@ -80,10 +86,19 @@
     this.out = out;
     this.addr = s.stateAddr();
     this.view = view;
-    double rps = s.state().rps() * Constants.STATE_SHARE;
-    double wps = s.state().writeRps() * Constants.STATE_SHARE;
-    this.requests = new TokenBucket(rps, rps);
-    this.writes = new TokenBucket(wps, wps);
+    this.settings = s;
+    this.requests = new TokenBucket(1, 1);
+    this.writes = new TokenBucket(1, 1);
+    share(false);
+    double all = s.peers().size() + 1;
+    this.watchGapMs =
+        Math.max(
+            Constants.WATCH_GAP_MS,
+            Math.round(1000 * all / (s.state().rps() * Constants.WATCH_SHARE)));
+    this.syncGapMs =
+        Math.max(
+            Constants.SYNC_GAP_MS,
+            Math.round(1000 * all / (s.state().rps() * Constants.SYNC_SHARE)));
     for (int i = 0; i < Urgency.values().length; i++) {
       queues.add(new ArrayDeque<>());
     }
@@ -122,44 +137,67 @@
     pump();
   }
 
+  /**
+   * What this controller takes of the state service's limits: as much as each of the others, and some
+   * more where it has the desk.
+   */
+  public void share(boolean desk) {
+    double share =
+        Math.min(
+            Constants.STATE_SHARE_MAX,
+            (1.0 + (desk ? Constants.DESK_SHARES : 0))
+                / (settings.peers().size() + 1 + Constants.DESK_SHARES)
+                * Constants.STATE_OVERBOOK);
+    double rps = settings.state().rps() * share;
+    double wps = settings.state().writeRps() * share;
+    requests.rate(rps, rps);
+    writes.rate(wps, wps);
+  }
+
+  /** Whether writes are to be drawn together: tokens for them are running out. */
+  public boolean scarce() {
+    return writes.fullness(clock.now()) < Constants.SCARCE;
+  }
+
   /** Sends a conditional write; it is refused if no token comes free within waitMs. */
   public void txn(Urgency u, Txn t, long waitMs, Consumer<Outcome> then) {
-    byte[] body = Json.bytes(t.toJson());
     long asked = clock.now();
     request(
         u,
         "POST",
         "/txn",
-        body,
+        Json.bytes(t.toJson()),
         t.writes(),
         waitMs,
         Constants.STATE_TIMEOUT_MS,
-        (status, answer) -> {
-          writeMs.recordValue(Math.min(clock.now() - asked, Constants.HISTOGRAM_MAX_MS));
-          if (status == 200) {
-            long rev = Json.parse(answer).path("ledgerRev").asLong();
-            // Our own change is known at once; the watch brings it again later, with the same stamp.
-            t.then.forEach(
-                (k, c) -> {
-                  if (c.value() == null) {
-                    view.delete(k, rev);
-                  } else {
-                    view.put(k, c.value(), rev);
-                  }
-                });
-            then.accept(Outcome.OK);
-          } else if (status == 409) {
-            refresh();
-            then.accept(Outcome.CONFLICT);
-          } else if (status == Outbox.NO_ANSWER) {
-            then.accept(Outcome.UNKNOWN);
-          } else {
-            if (status == 400) {
-              LOG.warn("the state service took a write for malformed: {}", new String(answer));
+        (status, answer) -> outcome(t, asked, status, answer, then));
+  }
+
+  private void outcome(Txn t, long asked, int status, byte[] answer, Consumer<Outcome> then) {
+    writeMs.recordValue(Math.min(clock.now() - asked, Constants.HISTOGRAM_MAX_MS));
+    if (status == 200) {
+      long rev = Json.parse(answer).path("ledgerRev").asLong();
+      // Our own change is known at once; the watch brings it again later, with the same stamp.
+      t.then.forEach(
+          (k, c) -> {
+            if (c.value() == null) {
+              view.delete(k, rev);
+            } else {
+              view.put(k, c.value(), rev);
             }
-            then.accept(Outcome.REFUSED);
-          }
-        });
+          });
+      then.accept(Outcome.OK);
+    } else if (status == 409) {
+      refresh();
+      then.accept(Outcome.CONFLICT);
+    } else if (status == Outbox.NO_ANSWER) {
+      then.accept(Outcome.UNKNOWN);
+    } else {
+      if (status == 400) {
+        LOG.warn("the state service took a write for malformed: {}", new String(answer));
+      }
+      then.accept(Outcome.REFUSED);
+    }
   }
 
   /**
@@ -171,25 +209,59 @@
     settle(u, t, waitMs, false, then);
   }
 
+  /**
+   * Like the other, but the write is made up only when tokens for it are there, so that all that came
+   * up while it waited goes into the one write. Null means that there is nothing to write any more.
+   */
+  public void settle(Urgency u, Supplier<Txn> late, Consumer<Boolean> then) {
+    queues
+        .get(u.ordinal())
+        .add(
+            new Waiting(
+                "POST",
+                "/txn",
+                null,
+                0,
+                clock.now() + Constants.LATE_WAIT_MS,
+                Constants.STATE_TIMEOUT_MS,
+                (status, body) -> then.accept(false),
+                late,
+                t -> {
+                  long asked = clock.now();
+                  send(
+                      "POST",
+                      "/txn",
+                      Json.bytes(t.toJson()),
+                      Constants.STATE_TIMEOUT_MS,
+                      (status, answer) ->
+                          outcome(
+                              t,
+                              asked,
+                              status,
+                              answer,
+                              o -> settled(u, t, Constants.STATE_TIMEOUT_MS, false, then, o)));
+                }));
+    pump();
+  }
+
   private void settle(Urgency u, Txn t, long waitMs, boolean doubt, Consumer<Boolean> then) {
-    txn(
-        u,
-        t,
-        waitMs,
-        outcome -> {
-          switch (outcome) {
-            case OK -> then.accept(true);
-            case CONFLICT -> whenCurrent(() -> then.accept(false));
-            case REFUSED -> {
-              if (doubt) {
-                settle(u, t, waitMs, true, then);
-              } else {
-                then.accept(false);
-              }
-            }
-            case UNKNOWN -> settle(u, t, waitMs, true, then);
-          }
-        });
+    txn(u, t, waitMs, outcome -> settled(u, t, waitMs, doubt, then, outcome));
+  }
+
+  private void settled(
+      Urgency u, Txn t, long waitMs, boolean doubt, Consumer<Boolean> then, Outcome outcome) {
+    switch (outcome) {
+      case OK -> then.accept(true);
+      case CONFLICT -> whenCurrent(() -> then.accept(false));
+      case REFUSED -> {
+        if (doubt) {
+          settle(u, t, waitMs, true, then);
+        } else {
+          then.accept(false);
+        }
+      }
+      case UNKNOWN -> settle(u, t, waitMs, true, then);
+    }
   }
 
   private void whenCurrent(Runnable then) {
@@ -217,7 +289,15 @@
         .get(u.ordinal())
         .add(
             new Waiting(
-                method, path, body, writeCount, clock.now() + waitMs, timeoutMs, then));
+                method,
+                path,
+                body,
+                writeCount,
+                clock.now() + waitMs,
+                timeoutMs,
+                then,
+                null,
+                null));
     pump();
   }
 
@@ -246,6 +326,21 @@
           w.then.done(Outbox.NOT_SENT, new byte[0]);
           continue;
         }
+        if (w.late != null) {
+          if (!writes.ready(now) || !requests.ready(now)) {
+            break;
+          }
+          q.poll();
+          Txn t = w.late.get();
+          if (t == null) {
+            w.then.done(Outbox.NOT_SENT, new byte[0]);
+          } else {
+            writes.charge(t.writes());
+            requests.charge(1);
+            w.send.accept(t);
+          }
+          continue;
+        }
         if (w.writes > 0 && !writes.take(now, w.writes)) {
           break;
         }
@@ -326,7 +421,7 @@
       return;
     }
     watching = true;
-    nextWatch = clock.now() + Constants.WATCH_GAP_MS;
+    nextWatch = clock.now() + watchGapMs;
     send(
         "GET",
         "/watch?under=" + Keys.ROOT + "&after=" + view.revision() + "&waitMs="
@@ -346,7 +441,7 @@
       return;
     }
     syncing = true;
-    nextSync = clock.now() + Constants.SYNC_GAP_MS;
+    nextSync = clock.now() + syncGapMs;
     List<Consumer<Boolean>> waiters = syncWaiters;
     syncWaiters = new ArrayList<>();
     send(
--- a/src/main/java/org/baygw/control/store/Txn.java
+++ b/src/main/java/org/baygw/control/store/Txn.java
@@ -40,6 +40,10 @@
     return then.keySet();
   }
 
+  public int conditions() {
+    return when.size();
+  }
+
   public int writes() {
     return then.size();
   }
--- a/src/main/java/org/baygw/control/store/View.java
+++ b/src/main/java/org/baygw/control/store/View.java
@@ -1,6 +1,7 @@
 package org.baygw.control.store;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import java.util.BitSet;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -9,6 +10,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.TreeSet;
 import org.baygw.control.Constants;
 import org.baygw.control.model.Job;
 import org.baygw.control.model.Machine;
@@ -17,13 +19,15 @@
 import org.baygw.control.model.Part;
 import org.baygw.control.model.Progress;
 import org.baygw.control.model.Records;
+import org.baygw.control.model.Roster;
 import org.baygw.control.model.TaskId;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
 /**
  * This controller's copy of the state service, parsed, with the indexes the slices need. An entry
- * changes only to a newer stamp, so late and repeated answers do no harm.
+ * changes only to a newer stamp, so late and repeated answers do no harm. What a change costs goes
+ * with what it changed, not with the size of the record or of the whole.
  */
 public final class View {
   /** A record with the revision of its last change. */
@@ -38,8 +42,18 @@
   /** A rental that is under way; hosts is null until the cloud has answered. */
   public record Rental(String type, String zone, boolean spot, int count) {}
 
-  /** A machine on its way out; gone once the cloud said so. */
-  public record Drain(boolean gone) {}
+  /** A machine on its way out. */
+  public enum Drain {
+    /** Given up: it is returned whatever is on it. */
+    GIVEN_UP,
+    /** Not needed: it is returned if nothing came to it meanwhile. */
+    IDLE,
+    /** The cloud has taken it back. */
+    GONE
+  }
+
+  /** Tasks of one job that ended in one part, as that part's record has them. */
+  private record Ended(BitSet done, Map<Integer, Integer> back) {}
 
   private static final Logger LOG = LoggerFactory.getLogger(View.class);
 
@@ -48,13 +62,19 @@
   private long revision;
   private long changes;
 
-  public final Map<String, Entry<Job>> jobs = new LinkedHashMap<>();
+  public final Map<String, Entry<Job>> jobs = new HashMap<>();
+
+  /** Jobs that are open or have progress left; the others only need their final state. */
+  public final Map<String, Entry<Job>> active = new LinkedHashMap<>();
+
+  /** How far jobs are, with what has ended in the parts' records taken in. */
   public final Map<String, TreeMap<Integer, Entry<Progress>>> progress = new HashMap<>();
+
   public final TreeMap<String, Entry<Machine>> machines = new TreeMap<>();
   public final Map<String, Entry<Claim>> claims = new HashMap<>();
   public final TreeMap<String, Entry<Member>> members = new TreeMap<>();
   public final TreeMap<String, Entry<Rental>> rentals = new TreeMap<>();
-  public final TreeMap<String, Entry<Drain>> drains = new TreeMap<>();
+  public final TreeMap<String, Drain> drains = new TreeMap<>();
   public final Set<String> cordons = new HashSet<>();
   public List<MachineType> types = List.of();
   public Params params = Params.DEFAULTS;
@@ -62,12 +82,24 @@
   /** The machines that may have a task. More than one only while something is wrong. */
   public final Map<TaskId, Set<String>> places = new HashMap<>();
 
-  /** Granted tasks of a part. */
-  public final Map<Part, Set<TaskId>> granted = new HashMap<>();
+  /** Parts a zone has; 0 until that is durable. */
+  private int partsPerZone;
+
+  /** Progress as it is written, without what stands in the parts' records only. */
+  private final Map<String, Progress> written = new HashMap<>();
+
+  private final Map<Part, Set<String>> machinesOf = new HashMap<>();
+  private final Map<Part, Roster> rosters = new HashMap<>();
+  private final Map<String, Map<TaskId, Integer>> on = new HashMap<>();
+  private final Map<String, Map<Part, Ended>> ended = new HashMap<>();
+  private final Map<Part, Map<String, Drain>> drainsOf = new HashMap<>();
 
   /** Granted tasks of a part that are on no machine. */
   private final Map<Part, Set<TaskId>> unplaced = new HashMap<>();
 
+  /** Granted tasks of a part, counted. */
+  private final Map<Part, Integer> granted = new HashMap<>();
+
   private Set<String> changedMachines = new LinkedHashSet<>();
 
   public long revision() {
@@ -79,6 +111,10 @@
     return changes;
   }
 
+  public int partsPerZone() {
+    return partsPerZone;
+  }
+
   public long stamp(String key) {
     return stamps.getOrDefault(key, 0L);
   }
@@ -98,14 +134,44 @@
     return e == null ? null : e.value();
   }
 
-  public Set<TaskId> granted(Part p) {
-    return granted.getOrDefault(p, Set.of());
+  /** Progress as its key has it, or null: what is in it is needed in no part's record. */
+  public Progress written(String job, int chunk) {
+    return written.get(Keys.progress(job, chunk));
+  }
+
+  public Roster roster(Part p) {
+    return rosters.getOrDefault(p, Roster.EMPTY);
+  }
+
+  /** The names of a part's machines. */
+  public Set<String> machinesOf(Part p) {
+    return machinesOf.getOrDefault(p, Set.of());
+  }
+
+  /** The tasks a part's record has on a machine. */
+  public Map<TaskId, Integer> on(String machine) {
+    return on.getOrDefault(machine, Map.of());
+  }
+
+  public int granted(Part p) {
+    return granted.getOrDefault(p, 0);
   }
 
   public Set<TaskId> unplaced(Part p) {
     return unplaced.getOrDefault(p, Set.of());
   }
 
+  /** Tasks of a job that are done, whether its progress has that yet or not. */
+  public int done(String job) {
+    int n = 0;
+    for (Entry<Progress> p : progress.getOrDefault(job, NO_CHUNKS).values()) {
+      n += p.value().done.cardinality();
+    }
+    return n;
+  }
+
+  private static final TreeMap<Integer, Entry<Progress>> NO_CHUNKS = new TreeMap<>();
+
   /** Machines to look at since the last call: their records changed, or a task there is to stop. */
   public Set<String> takeChangedMachines() {
     Set<String> out = changedMachines;
@@ -114,12 +180,12 @@
   }
 
   private void grantEnds(TaskId t, Progress.Live l) {
-    granted.get(l.part()).remove(t);
+    granted.merge(l.part(), -1, Integer::sum);
     unplaced.getOrDefault(l.part(), Set.of()).remove(t);
   }
 
   private void grantBegins(TaskId t, Progress.Live l) {
-    granted.computeIfAbsent(l.part(), k -> new HashSet<>()).add(t);
+    granted.merge(l.part(), 1, Integer::sum);
     Set<String> at = places.get(t);
     if (at == null) {
       unplaced.computeIfAbsent(l.part(), k -> new HashSet<>()).add(t);
@@ -178,58 +244,39 @@
     switch (p.length > 1 ? p[1] : "") {
       case "job" -> {
         set(jobs, id, v == null ? null : Records.job(id, v), stamp);
+        activate(id);
         if (v != null && !jobs.get(id).value().open()) {
-          for (Entry<Progress> c : progress.getOrDefault(id, new TreeMap<>()).values()) {
+          for (Entry<Progress> c : progress.getOrDefault(id, NO_CHUNKS).values()) {
             for (int i : c.value().live.keySet()) {
               changedMachines.addAll(places.getOrDefault(new TaskId(id, i), Set.of()));
             }
           }
         }
       }
-      case "prog" -> {
-        int chunk = Integer.parseInt(p[3]);
-        TreeMap<Integer, Entry<Progress>> m = progress.computeIfAbsent(id, k -> new TreeMap<>());
-        Progress next = v == null ? null : Records.progress(v);
-        Entry<Progress> old = m.get(chunk);
-        if (old != null) {
-          old.value().live.forEach((i, l) -> grantEnds(new TaskId(id, i), l));
-        }
-        if (next != null) {
-          next.live.forEach((i, l) -> grantBegins(new TaskId(id, i), l));
-        }
-        set(m, chunk, next, stamp);
-        if (m.isEmpty()) {
-          progress.remove(id);
-        }
-      }
-      case "run" -> {
-        Machine next = v == null ? null : Records.machine(id, v);
+      case "prog" -> progressChanged(key, id, Integer.parseInt(p[3]), v, stamp);
+      case "run" ->
+          rosterChanged(Part.parse(id), v == null ? Roster.EMPTY : Records.roster(v));
+      case "machine" -> {
+        Machine next = v == null ? null : Records.machine(id, v, partsPerZone);
         Entry<Machine> old = machines.get(id);
-        if (old != null) {
-          for (TaskId t : old.value().tasks().keySet()) {
-            Set<String> at = places.get(t);
-            at.remove(id);
-            if (at.isEmpty()) {
-              places.remove(t);
-              Progress.Live l = grant(t);
-              if (l != null) {
-                unplaced.computeIfAbsent(l.part(), k -> new HashSet<>()).add(t);
-              }
-            }
-          }
-        }
         if (next != null) {
-          for (TaskId t : next.tasks().keySet()) {
-            places.computeIfAbsent(t, k -> new HashSet<>()).add(id);
-            Progress.Live l = grant(t);
-            if (l != null) {
-              unplaced.getOrDefault(l.part(), Set.of()).remove(t);
-            }
+          String condition = roster(next.part()).conditions().get(id);
+          next = next.withTasks(on(id));
+          next = condition == null ? next : next.with(Machine.Condition.valueOf(condition));
+          for (String image : old == null ? List.<String>of() : old.value().images()) {
+            next = next.withImage(image);
           }
+          next = withImages(next, next.tasks().keySet());
         }
         set(machines, id, next, stamp);
+        if (next != null) {
+          machinesOf.computeIfAbsent(next.part(), k -> new TreeSet<>()).add(id);
+        } else if (old != null) {
+          machinesOf.get(old.value().part()).remove(id);
+        }
         changedMachines.add(id);
       }
+      case "layout" -> partsPerZone = v == null ? 0 : v.path("parts_per_zone").asInt();
       case "claim" ->
           set(
               claims,
@@ -255,8 +302,24 @@
                       v.path("count").asInt()),
               stamp);
       case "drain" -> {
-        set(drains, id, v == null ? null : new Drain(v.path("gone").asBoolean()), stamp);
-        changedMachines.add(id);
+        Map<String, Drain> next = new HashMap<>();
+        if (v != null) {
+          v.fields().forEachRemaining(
+              e -> next.put(e.getKey(), Drain.valueOf(e.getValue().asText())));
+        }
+        for (String m : drainsOf.getOrDefault(Part.parse(id), Map.of()).keySet()) {
+          if (!next.containsKey(m)) {
+            drains.remove(m);
+            changedMachines.add(m);
+          }
+        }
+        next.forEach(
+            (m, d) -> {
+              if (drains.put(m, d) != d) {
+                changedMachines.add(m);
+              }
+            });
+        drainsOf.put(Part.parse(id), next);
       }
       case "cordon" -> {
         if (v == null) {
@@ -271,6 +334,185 @@
     }
   }
 
+  /** The machines of a part that are on their way out. */
+  public Map<String, Drain> drains(Part p) {
+    return drainsOf.getOrDefault(p, Map.of());
+  }
+
+  private void activate(String id) {
+    Entry<Job> j = jobs.get(id);
+    if (j != null && (j.value().open() || progress.containsKey(id))) {
+      active.put(id, j);
+    } else {
+      active.remove(id);
+    }
+  }
+
+  private void progressChanged(String key, String id, int chunk, JsonNode v, long stamp) {
+    TreeMap<Integer, Entry<Progress>> m = progress.computeIfAbsent(id, k -> new TreeMap<>());
+    Progress next = v == null ? null : Records.progress(v);
+    Entry<Progress> old = m.get(chunk);
+    if (old != null) {
+      old.value().live.forEach((i, l) -> grantEnds(new TaskId(id, i), l));
+    }
+    if (next == null) {
+      written.remove(key);
+    } else {
+      written.put(key, next);
+      next = next.copy();
+      for (Ended e : ended.getOrDefault(id, Map.of()).values()) {
+        int from = chunk * Constants.CHUNK_TASKS;
+        int to = from + Constants.CHUNK_TASKS;
+        for (int i = e.done().nextSetBit(from); i >= 0 && i < to; i = e.done().nextSetBit(i + 1)) {
+          next.complete(i);
+        }
+        for (Map.Entry<Integer, Integer> b : e.back().entrySet()) {
+          if (next.isLive(b.getKey(), b.getValue())) {
+            next.back(b.getKey());
+          }
+        }
+      }
+      next.live.forEach((i, l) -> grantBegins(new TaskId(id, i), l));
+    }
+    set(m, chunk, next, stamp);
+    if (m.isEmpty()) {
+      progress.remove(id);
+    }
+    activate(id);
+  }
+
+  private void rosterChanged(Part part, Roster next) {
+    Roster old = roster(part);
+    rosters.put(part, next);
+    for (String machine : old.on().keySet()) {
+      if (!next.on().containsKey(machine)) {
+        tasksChanged(machine, Map.of());
+      }
+    }
+    next.on()
+        .forEach(
+            (machine, text) -> {
+              if (!text.equals(old.on().get(machine))) {
+                tasksChanged(machine, Roster.tasks(text));
+              }
+            });
+    Set<String> fit = new HashSet<>(old.conditions().keySet());
+    fit.addAll(next.conditions().keySet());
+    for (String machine : fit) {
+      String condition = next.conditions().get(machine);
+      Entry<Machine> e = machines.get(machine);
+      if (e != null && !java.util.Objects.equals(condition, old.conditions().get(machine))) {
+        Machine.Condition c =
+            condition == null ? Machine.Condition.OK : Machine.Condition.valueOf(condition);
+        machines.put(machine, new Entry<>(e.value().with(c), e.stamp()));
+        changedMachines.add(machine);
+      }
+    }
+    Set<String> jobsChanged = new HashSet<>();
+    changed(old.done(), next.done(), jobsChanged);
+    changed(old.back(), next.back(), jobsChanged);
+    for (String job : jobsChanged) {
+      BitSet done = new BitSet();
+      Roster.indexes(next.done().get(job)).keySet().forEach(done::set);
+      Map<Integer, Integer> back = Roster.indexes(next.back().get(job));
+      if (done.isEmpty() && back.isEmpty()) {
+        Map<Part, Ended> m = ended.get(job);
+        if (m != null && m.remove(part) != null && m.isEmpty()) {
+          ended.remove(job);
+        }
+      } else {
+        ended.computeIfAbsent(job, k -> new HashMap<>()).put(part, new Ended(done, back));
+        done.stream().forEach(i -> taskDone(job, i));
+        back.forEach((i, attempt) -> taskBack(job, i, attempt));
+      }
+    }
+  }
+
+  private static void changed(
+      Map<String, String> old, Map<String, String> next, Set<String> jobsChanged) {
+    next.forEach(
+        (job, text) -> {
+          if (!text.equals(old.get(job))) {
+            jobsChanged.add(job);
+          }
+        });
+    for (String job : old.keySet()) {
+      if (!next.containsKey(job)) {
+        jobsChanged.add(job);
+      }
+    }
+  }
+
+  private void taskDone(String job, int index) {
+    Progress p = progress(job, index / Constants.CHUNK_TASKS);
+    if (p != null && !p.done.get(index)) {
+      Progress.Live l = p.live.get(index);
+      if (l != null) {
+        grantEnds(new TaskId(job, index), l);
+      }
+      p.complete(index);
+    }
+  }
+
+  private void taskBack(String job, int index, int attempt) {
+    Progress p = progress(job, index / Constants.CHUNK_TASKS);
+    if (p != null && p.isLive(index, attempt)) {
+      grantEnds(new TaskId(job, index), p.live.get(index));
+      p.back(index);
+    }
+  }
+
+  private void tasksChanged(String machine, Map<TaskId, Integer> next) {
+    Map<TaskId, Integer> old = on(machine);
+    for (TaskId t : old.keySet()) {
+      if (!next.containsKey(t)) {
+        Set<String> at = places.get(t);
+        at.remove(machine);
+        if (at.isEmpty()) {
+          places.remove(t);
+          Progress.Live l = grant(t);
+          if (l != null) {
+            unplaced.computeIfAbsent(l.part(), k -> new HashSet<>()).add(t);
+          }
+        }
+      }
+    }
+    Set<TaskId> fresh = new HashSet<>();
+    for (TaskId t : next.keySet()) {
+      if (!old.containsKey(t)) {
+        fresh.add(t);
+        places.computeIfAbsent(t, k -> new HashSet<>()).add(machine);
+        Progress.Live l = grant(t);
+        if (l != null) {
+          unplaced.getOrDefault(l.part(), Set.of()).remove(t);
+        }
+      }
+    }
+    if (next.isEmpty()) {
+      on.remove(machine);
+    } else {
+      on.put(machine, next);
+    }
+    Entry<Machine> e = machines.get(machine);
+    if (e != null) {
+      machines.put(
+          machine, new Entry<>(withImages(e.value().withTasks(next), fresh), e.stamp()));
+    }
+    changedMachines.add(machine);
+  }
+
+  /** A machine fetches the image of what is put on it. */
+  private Machine withImages(Machine m, Set<TaskId> tasks) {
+    Machine next = m;
+    for (TaskId t : tasks) {
+      Entry<Job> j = jobs.get(t.job());
+      if (j != null && !next.images().contains(j.value().spec().image())) {
+        next = next.withImage(j.value().spec().image());
+      }
+    }
+    return next;
+  }
+
   private static <K, T> void set(Map<K, Entry<T>> map, K key, T value, long stamp) {
     if (value == null) {
       map.remove(key);
--- a/src/main/java/org/baygw/control/workers/Agent.java
+++ b/src/main/java/org/baygw/control/workers/Agent.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Set;
 import org.baygw.control.Constants;
+import org.baygw.control.model.Machine;
 import org.baygw.control.model.TaskId;
 
 /** What a part's owner knows of one worker, in memory only and for one claim only. */
@@ -45,7 +46,10 @@
   int errors;
   boolean sick;
 
-  /** A durable change of this machine's record is under way. */
+  /** What its part's record is to say of the machine; null as long as this owner has not looked. */
+  Machine.Condition condition;
+
+  /** A change of this machine's own record is under way. */
   boolean busy;
 
   boolean directBusy;
@@ -57,6 +61,11 @@
   long nextAsk;
   boolean leaseOver;
 
+  /** Highest token that an answer of ours carried, and reports in a row that did not show it. */
+  long answeredToken;
+
+  int unheeded;
+
   Agent(String name, long claim, long now) {
     this.name = name;
     this.claim = claim;
@@ -77,6 +86,23 @@
     return s > session || s == session && t > tick;
   }
 
+  /**
+   * Counts the signs that our answers do not reach a worker whose reports reach us: it does not show
+   * the token that they carried, or its sessions end though they were answered in time.
+   */
+  void heed(WorkerCodec.Report r, long now, long leaseMs) {
+    boolean ended = session > 0 && r.session() > session && now - lastAnswered < leaseMs;
+    if (ended || r.token() < answeredToken) {
+      unheeded++;
+    } else {
+      unheeded = 0;
+    }
+  }
+
+  boolean deaf() {
+    return unheeded >= Constants.DEAF_REPORTS;
+  }
+
   Flight flight(TaskId t) {
     return flights.computeIfAbsent(t, k -> new Flight());
   }
--- /dev/null
+++ b/src/main/java/org/baygw/control/workers/Contact.java
@@ -0,0 +1,239 @@
+package org.baygw.control.workers;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import org.HdrHistogram.Histogram;
+import org.baygw.control.Constants;
+import org.baygw.control.config.Settings;
+import org.baygw.control.core.Clock;
+import org.baygw.control.core.Json;
+import org.baygw.control.core.Outbox;
+import org.baygw.control.model.Job;
+import org.baygw.control.model.JobSpec;
+import org.baygw.control.model.Machine;
+import org.baygw.control.model.TaskId;
+import org.baygw.control.store.View;
+
+/** What workers are told and asked: launches, kills, forgets, in answers to reports and directly. */
+final class Contact {
+  /** Takes in a report that came as the answer to a call of ours. */
+  interface Heard {
+    void heard(Agent a, byte[] body);
+  }
+
+  private final Clock clock;
+  private final Outbox out;
+  private final Settings settings;
+  private final View view;
+  private final Proofs proofs;
+  private final Placing placing;
+  private final Rounds rounds;
+  private final Heard heard;
+  private final Histogram launchMs =
+      new Histogram(Constants.HISTOGRAM_MAX_MS, Constants.HISTOGRAM_DIGITS);
+
+  Contact(
+      Clock clock,
+      Outbox out,
+      Settings settings,
+      View view,
+      Proofs proofs,
+      Placing placing,
+      Rounds rounds,
+      Heard heard) {
+    this.clock = clock;
+    this.out = out;
+    this.settings = settings;
+    this.view = view;
+    this.proofs = proofs;
+    this.placing = placing;
+    this.rounds = rounds;
+    this.heard = heard;
+  }
+
+  Histogram launchMs() {
+    return launchMs;
+  }
+
+  boolean silent(Agent a) {
+    double reports = Constants.LOST_REPORTS * settings.workers().reportS() * 1000;
+    return a.deaf()
+        || a.unanswered && clock.now() - Math.max(a.lastHeard, a.since) > reports;
+  }
+
+  /**
+   * Asks a worker that has gone quiet, and one that has not seen this claim's token: after a takeover
+   * it may wait seconds for its former owner, and until it has seen the token nothing here is proved.
+   */
+  void ask(Agent a) {
+    long now = clock.now();
+    boolean quiet =
+        now - Math.max(a.lastHeard, a.since)
+            > Constants.ASK_REPORTS * settings.workers().reportS() * 1000;
+    if (a.asking || a.directBusy || a.addr.isEmpty() || now < a.nextAsk
+        || !quiet && (a.trusted() || a.lastHeard > 0)) {
+      return;
+    }
+    a.asking = true;
+    a.nextAsk = now + (long) (settings.workers().reportS() * 1000 * Constants.ASK_AGAIN_REPORTS);
+    out.call(
+        a.addr,
+        "GET",
+        "/show",
+        null,
+        Constants.SHOW_TIMEOUT_MS,
+        (status, body) -> {
+          a.asking = false;
+          if (status != 200) {
+            a.unanswered = true;
+            return;
+          }
+          heard.heard(a, body);
+          if (!a.trusted() && a.session > 0) {
+            direct(a, List.of());
+          }
+        });
+  }
+
+  /** The commands that go with the answer to a report. */
+  List<WorkerCodec.Order> reply(Agent a, Machine m, Ledger l, long tick) {
+    List<WorkerCodec.Order> orders = orders(a, m, l, true);
+    for (WorkerCodec.Order o : orders) {
+      if (o.verb() == WorkerCodec.Verb.LAUNCH) {
+        a.flight(o.task()).replyTick = tick;
+        launched(a, o.task());
+      }
+    }
+    return orders;
+  }
+
+  /** Sends at once what should not wait for the next report. */
+  void urgent(Agent a, Machine m, Ledger l) {
+    if (a.directBusy || a.addr.isEmpty() || !a.trusted() || a.leaseOver
+        || !placing.heardLately(a)) {
+      return;
+    }
+    List<WorkerCodec.Order> orders = orders(a, m, l, false);
+    if (!orders.isEmpty()) {
+      direct(a, orders);
+    }
+  }
+
+  /** What the worker is to do now, by what it last reported. */
+  private List<WorkerCodec.Order> orders(Agent a, Machine m, Ledger l, boolean reply) {
+    List<WorkerCodec.Order> orders = new ArrayList<>();
+    for (Map.Entry<TaskId, WorkerCodec.Seen> t : a.seen.entrySet()) {
+      WorkerCodec.Seen s = t.getValue();
+      Integer recorded = m.tasks().get(t.getKey());
+      boolean ours = recorded != null && recorded == s.attempt();
+      if (s.state() == WorkerCodec.State.ENDED) {
+        // Only what is durable is forgotten: until then the report is the only record of the end.
+        if (reply && !ours && !l.moving(t.getKey())) {
+          orders.add(
+              new WorkerCodec.Order(WorkerCodec.Verb.FORGET, t.getKey(), s.attempt(), 0));
+        }
+        continue;
+      }
+      Double grace = grace(a, t.getKey(), s, m, ours, l);
+      Long before = a.killed.get(t.getKey());
+      if (grace != null
+          && (before == null
+              || clock.now() - before > settings.workers().reportS() * 1000 && grace == 0)) {
+        a.killed.put(t.getKey(), clock.now());
+        orders.add(new WorkerCodec.Order(WorkerCodec.Verb.KILL, t.getKey(), s.attempt(), grace));
+      }
+    }
+    if (!a.trusted() || a.leaseOver || a.deaf() || view.drains.containsKey(m.name())) {
+      return orders;
+    }
+    for (Map.Entry<TaskId, Integer> t : m.tasks().entrySet()) {
+      if (a.seen.containsKey(t.getKey())) {
+        continue;
+      }
+      Agent.Flight f = a.flights.get(t.getKey());
+      boolean open = f == null || reply && f.replyTick == 0 && !a.directBusy;
+      // What a write under way takes off the machine must not be started there again.
+      if (open && !l.moving(t.getKey()) && proofs.wanted(t.getKey(), t.getValue(), m)) {
+        orders.add(
+            new WorkerCodec.Order(WorkerCodec.Verb.LAUNCH, t.getKey(), t.getValue(), 0));
+      }
+    }
+    return orders;
+  }
+
+  /** Seconds a task gets to save when it is to stop; null if it is to run on. */
+  private Double grace(
+      Agent a, TaskId t, WorkerCodec.Seen s, Machine m, boolean ours, Ledger l) {
+    View.Entry<Job> j = view.jobs.get(t.job());
+    if (!ours || j == null || !j.value().open()) {
+      return l.moving(t) && j != null && j.value().open() ? null : Double.valueOf(0);
+    }
+    JobSpec spec = j.value().spec();
+    if (!proofs.wanted(t, s.attempt(), m)) {
+      return spec.checkpoints() ? spec.graceS() : 0;
+    }
+    if (s.state() == WorkerCodec.State.RUNNING && rounds.target(t, m.name()) != null) {
+      return spec.checkpoints() ? spec.graceS() : 0;
+    }
+    if (view.cordons.contains(m.name()) && spec.service()) {
+      return 0.0; // an operator's drain: replicas go elsewhere at once, other tasks may finish
+    }
+    boolean leaving = a.noticeUntil > 0 || view.cordons.contains(m.name());
+    if (leaving && spec.checkpoints() && s.state() != WorkerCodec.State.SAVING) {
+      return spec.graceS(); // the notice: save while there is time
+    }
+    return null;
+  }
+
+  private void direct(Agent a, List<WorkerCodec.Order> orders) {
+    long token = a.token();
+    List<TaskId> launches = new ArrayList<>();
+    for (WorkerCodec.Order o : orders) {
+      if (o.verb() == WorkerCodec.Verb.LAUNCH) {
+        a.flight(o.task()).directToken = token;
+        launches.add(o.task());
+      }
+    }
+    a.directBusy = true;
+    out.call(
+        a.addr,
+        "POST",
+        "/orders",
+        Json.bytes(WorkerCodec.direct(token, a.session, orders)),
+        Constants.ORDERS_TIMEOUT_MS,
+        (status, body) -> answered(a, launches, status, body));
+  }
+
+  private void answered(Agent a, List<TaskId> launches, int status, byte[] body) {
+    a.directBusy = false;
+    boolean certain =
+        status == 200 || status == 409 || status == 400 || status == Outbox.NOT_SENT;
+    if (certain) {
+      for (TaskId t : launches) {
+        Agent.Flight f = a.flights.get(t);
+        launched(a, t);
+        if (f != null) {
+          f.directToken = 0;
+          if (f.over()) {
+            a.flights.remove(t);
+          }
+        }
+      }
+    } else {
+      // It may be carried out minutes later. A higher token, once seen there, rules that out.
+      a.raises++;
+    }
+    if (status == 200 || status == 409) {
+      heard.heard(a, body);
+    }
+  }
+
+  private void launched(Agent a, TaskId t) {
+    View.Entry<Job> j = view.jobs.get(t.job());
+    if (a.launched.put(t, clock.now()) == null && j != null) {
+      long waited = Math.max(0, clock.wall() - j.value().acceptedMs());
+      launchMs.recordValue(Math.min(waited, Constants.HISTOGRAM_MAX_MS));
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/org/baygw/control/workers/Placing.java
@@ -0,0 +1,250 @@
+package org.baygw.control.workers;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.baygw.control.Constants;
+import org.baygw.control.config.Settings;
+import org.baygw.control.core.Clock;
+import org.baygw.control.model.Job;
+import org.baygw.control.model.JobSpec;
+import org.baygw.control.model.Machine;
+import org.baygw.control.model.Part;
+import org.baygw.control.model.Progress;
+import org.baygw.control.model.TaskId;
+import org.baygw.control.placement.Room;
+import org.baygw.control.placement.Rooms;
+import org.baygw.control.store.View;
+
+/** First fit for the tasks granted to a part, and what is learnt from tasks that fail. */
+final class Placing {
+  /** A job whose tasks fail waits longer and longer. */
+  private static final class Backoff {
+    int errors;
+    long until;
+    final Map<String, Long> machines = new HashMap<>();
+  }
+
+  /** What to do with the granted tasks of a part. */
+  record Plan(Map<String, Map<TaskId, Integer>> onto, Map<TaskId, Integer> back) {}
+
+  private final Clock clock;
+  private final Settings settings;
+  private final View view;
+  private final Map<String, Agent> agents;
+  private final Rounds rounds;
+  private final Rooms rooms;
+  private final Map<TaskId, Long> unplacedSince = new HashMap<>();
+  private final Map<String, Backoff> backoffs = new HashMap<>();
+
+  /** Where a round wants pending tasks. */
+  private final Map<TaskId, String> chosen = new HashMap<>();
+
+  Placing(
+      Clock clock, Settings settings, View view, Map<String, Agent> agents, Rounds rounds) {
+    this.clock = clock;
+    this.settings = settings;
+    this.view = view;
+    this.agents = agents;
+    this.rounds = rounds;
+    this.rooms = new Rooms(view);
+  }
+
+  void choose(Map<TaskId, String> placed) {
+    chosen.clear();
+    chosen.putAll(placed);
+  }
+
+  /** Finds machines for a part's granted tasks; takes up to so many jobs and bytes of its record. */
+  Plan plan(Part part, long claim, Set<TaskId> leaving, int mostJobs, int mostBytes) {
+    long now = clock.now();
+    Map<String, Map<TaskId, Integer>> onto = new LinkedHashMap<>();
+    Map<TaskId, Integer> back = new LinkedHashMap<>();
+    Set<TaskId> unplaced = view.unplaced(part);
+    unplacedSince.keySet().removeIf(t -> !isUnplaced(t));
+    if (unplaced.isEmpty()) {
+      return new Plan(onto, back);
+    }
+    List<TaskId> todo = new ArrayList<>(unplaced);
+    todo.sort(Comparator.comparing((TaskId t) -> priority(t)).thenComparing(t -> t));
+    List<Room> free = rooms(part, claim);
+    Set<String> jobs = new HashSet<>();
+    int bytes = 0;
+    Room last = null;
+    String lastJob = null;
+    String fullFor = null;
+    for (TaskId t : todo) {
+      View.Entry<Job> j = view.jobs.get(t.job());
+      Progress.Live l = view.grant(t);
+      if (leaving.contains(t) || l == null) {
+        continue;
+      }
+      long since = unplacedSince.computeIfAbsent(t, k -> now);
+      boolean over = j == null || !j.value().open() || l.stop();
+      JobSpec s = over ? null : j.value().spec();
+      Room r = null;
+      if (!over && bytes < mostBytes && (jobs.contains(t.job()) || jobs.size() < mostJobs)
+          && !t.job().equals(fullFor)) {
+        boolean again = t.job().equals(lastJob) && !s.service() && last.fits(s);
+        r = again ? last : wanted(free, t, s);
+        r = r == null ? firstFit(free, s) : r;
+        if (r == null) {
+          fullFor = t.job(); // nor would its other tasks find any
+        }
+      }
+      if (r != null) {
+        r.take(s);
+        last = r;
+        lastJob = t.job();
+        if (jobs.add(t.job())) {
+          bytes += t.job().length();
+        }
+        bytes += TASK_BYTES;
+        onto.computeIfAbsent(r.machine().name(), k -> new LinkedHashMap<>()).put(t, l.attempt());
+      } else if (over || now - since > Constants.UNGRANT_MS) {
+        back.put(t, l.attempt());
+        unplacedSince.remove(t); // if it is granted here again it waits anew
+      }
+    }
+    return new Plan(onto, back);
+  }
+
+  /** About what a task takes of its part's record, with its share of its job's name, in bytes. */
+  private static final int TASK_BYTES = 8;
+
+  private boolean isUnplaced(TaskId t) {
+    Progress.Live l = view.grant(t);
+    return l != null && view.unplaced(l.part()).contains(t);
+  }
+
+  private JobSpec.Priority priority(TaskId t) {
+    View.Entry<Job> j = view.jobs.get(t.job());
+    return j == null ? JobSpec.Priority.LOW : j.value().spec().priority();
+  }
+
+  List<Room> rooms(Part part, long claim) {
+    List<Room> out = new ArrayList<>();
+    Map<String, List<TaskId>> coming = rounds.coming();
+    for (String name : view.machinesOf(part)) {
+      Agent a = agents.get(name);
+      View.Entry<Machine> e = view.machines.get(name);
+      if (a == null || a.claim != claim || !placeable(a, e.value())) {
+        continue;
+      }
+      Room r = room(a, e.value());
+      if (r != null) {
+        for (TaskId t : coming.getOrDefault(name, List.of())) {
+          r.take(view.jobs.get(t.job()).value().spec());
+        }
+        out.add(r);
+      }
+    }
+    return out;
+  }
+
+  boolean placeable(Agent a, Machine m) {
+    return a.trusted()
+        && !a.leaseOver
+        && !a.deaf()
+        && a.noticeUntil == 0
+        && m.condition() == Machine.Condition.OK
+        && !view.drains.containsKey(m.name())
+        && heardLately(a);
+  }
+
+  boolean heardLately(Agent a) {
+    return clock.now() - a.lastHeard
+        <= settings.workers().reportS() * 1000 * Constants.HEARD_REPORTS;
+  }
+
+  Room room(Agent a, Machine m) {
+    Room r = rooms.of(m);
+    if (r != null) {
+      for (Map.Entry<TaskId, WorkerCodec.Seen> s : a.seen.entrySet()) {
+        if (s.getValue().state() != WorkerCodec.State.ENDED && !m.tasks().containsKey(s.getKey())) {
+          View.Entry<Job> j = view.jobs.get(s.getKey().job());
+          if (j != null) {
+            r.take(j.value().spec()); // not in the record, but there until it is killed
+          }
+        }
+      }
+    }
+    return r;
+  }
+
+  /** The machine that a round wants the task on, if it still fits there. */
+  private Room wanted(List<Room> free, TaskId t, JobSpec s) {
+    String name = chosen.remove(t);
+    if (name != null) {
+      for (Room r : free) {
+        if (r.machine().name().equals(name) && r.fits(s)) {
+          return r;
+        }
+      }
+    }
+    return null;
+  }
+
+  /**
+   * The best suited machine; among equals the oldest for services, which stay, and the newest for
+   * arrays, which soon leave.
+   */
+  private Room firstFit(List<Room> free, JobSpec s) {
+    Backoff b = backoffs.get(s.id());
+    if (b != null && clock.now() < b.until) {
+      return null;
+    }
+    Room best = null;
+    int bestScore = -1;
+    for (Room r : free) {
+      if (!r.fits(s)) {
+        continue;
+      }
+      if (b != null && b.machines.getOrDefault(r.machine().name(), 0L) > clock.now()) {
+        continue;
+      }
+      int score = r.rank(s);
+      if (score > bestScore || score == bestScore && !s.service()) {
+        best = r;
+        bestScore = score;
+      }
+    }
+    return best;
+  }
+
+  /** Tells a machine that fails everything from a job that fails everywhere. */
+  void learn(Agent a, TaskId t, Proofs.End end) {
+    WorkerCodec.Seen s = a.seen.get(t);
+    if (end == Proofs.End.DONE) {
+      a.errors = 0;
+      a.failedJobs.clear();
+      backoffs.remove(t.job());
+      return;
+    }
+    if (s == null || s.state() != WorkerCodec.State.ENDED
+        || s.cause() != WorkerCodec.Cause.ERROR) {
+      return;
+    }
+    a.errors++;
+    a.failedJobs.add(t.job());
+    Backoff b = backoffs.computeIfAbsent(t.job(), k -> new Backoff());
+    boolean elsewhere = !b.machines.isEmpty() && !b.machines.containsKey(a.name);
+    b.machines.put(a.name, clock.now() + Constants.ERROR_BACKOFF_MAX_MS);
+    if (elsewhere) {
+      b.errors++;
+      b.until =
+          clock.now()
+              + Math.min(
+                  Constants.ERROR_BACKOFF_MAX_MS,
+                  Constants.ERROR_BACKOFF_MS << Math.min(b.errors, 6));
+    }
+    if (a.errors >= Constants.SICK_ERRORS && a.failedJobs.size() > 1) {
+      a.sick = true;
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/org/baygw/control/workers/Proofs.java
@@ -0,0 +1,90 @@
+package org.baygw.control.workers;
+
+import java.util.LinkedHashMap;
+import java.util.Map;
+import org.baygw.control.config.Settings;
+import org.baygw.control.core.Clock;
+import org.baygw.control.model.Job;
+import org.baygw.control.model.Machine;
+import org.baygw.control.model.Progress;
+import org.baygw.control.model.TaskId;
+import org.baygw.control.store.View;
+import org.baygw.control.Constants;
+
+/** What proves that a task is no longer on its machine. */
+final class Proofs {
+  /** How a task left its machine. */
+  enum End {
+    DONE,
+    BACK
+  }
+
+  private final Clock clock;
+  private final View view;
+  private final long leaseMs;
+
+  Proofs(Clock clock, Settings settings, View view) {
+    this.clock = clock;
+    this.view = view;
+    this.leaseMs = (long) (settings.workers().leaseS() * 1000 * (1 + Constants.DRIFT));
+  }
+
+  long leaseMs() {
+    return leaseMs;
+  }
+
+  /** Notes it when a worker's session must be over, with all tasks it had. */
+  void lease(Agent a) {
+    if (a.trusted()
+        && clock.now() > a.lastAnswered + leaseMs + Constants.LEASE_MARGIN_MS
+        && !a.leaseOver) {
+      // Since it saw our token only our answers count, and the last of them is too old: the worker
+      // has ended its session and all tasks with it. Direct launches need the old session.
+      a.leaseOver = true;
+      a.flights.clear();
+      a.seen = new LinkedHashMap<>();
+      a.session++;
+      a.tick = -1;
+    }
+  }
+
+  /** The tasks of the machine's record that are proved gone from it. */
+  Map<TaskId, End> ends(Agent a, Machine m) {
+    Map<TaskId, End> ends = null;
+    for (Map.Entry<TaskId, Integer> t : m.tasks().entrySet()) {
+      End end = end(a, m, t.getKey(), t.getValue());
+      if (end != null) {
+        ends = ends == null ? new LinkedHashMap<>() : ends;
+        ends.put(t.getKey(), end);
+      }
+    }
+    return ends == null ? Map.of() : ends;
+  }
+
+  private End end(Agent a, Machine m, TaskId t, int attempt) {
+    if (view.drains.get(m.name()) == View.Drain.GONE) {
+      return End.BACK; // the cloud has taken the machine back: nothing on it is left
+    }
+    WorkerCodec.Seen s = a.seen.get(t);
+    if (s != null && s.attempt() == attempt) {
+      if (s.state() != WorkerCodec.State.ENDED) {
+        return null;
+      }
+      return s.cause() == WorkerCodec.Cause.DONE ? End.DONE : End.BACK;
+    }
+    boolean absent =
+        a.trusted() && (s == null || s.state() == WorkerCodec.State.ENDED)
+            && !a.flights.containsKey(t);
+    return absent && (a.leaseOver || !wanted(t, attempt, m)) ? End.BACK : null;
+  }
+
+  /** Whether the task is to run on under this attempt. */
+  boolean wanted(TaskId t, int attempt, Machine m) {
+    View.Entry<Job> j = view.jobs.get(t.job());
+    if (j == null || !j.value().open()) {
+      return false;
+    }
+    Progress.Live l = view.grant(t);
+    return l != null && l.attempt() == attempt && !l.stop() && l.part().equals(m.part());
+  }
+}
--- a/src/main/java/org/baygw/control/workers/Rounds.java
+++ b/src/main/java/org/baygw/control/workers/Rounds.java
@@ -73,14 +73,10 @@
     return m != null && m.from().equals(from) ? m.to() : null;
   }
 
-  List<TaskId> movingTo(String machine) {
-    List<TaskId> out = new ArrayList<>();
-    moves.forEach(
-        (t, m) -> {
-          if (m.to().equals(machine)) {
-            out.add(t);
-          }
-        });
+  /** The tasks that are to move to each machine. */
+  Map<String, List<TaskId>> coming() {
+    Map<String, List<TaskId>> out = new HashMap<>();
+    moves.forEach((t, m) -> out.computeIfAbsent(m.to(), k -> new ArrayList<>()).add(t));
     return out;
   }
 
