Test the added troubles: deaf machines, late copies, quick restarts, starvation, silence

A checker counts a job as forgotten when nothing is answered about it for 75 s after the last trouble, and is shown to see that. Scenarios: a machine that reports but hears nothing (alone, with cancelled tasks, with the cloud down), copies of reports half a lease to several leases late (also after takeovers, and of machines returned by a controller that crashed since), a controller without state service and siblings but with its workers, restarts within 0.1 to 0.3 s in the middle of takeovers, a large job under a long burst, a hundred machines at seven controllers with a bound on changes a start.

--- a/src/test/java/org/baygw/control/sim/Checker.java
+++ b/src/test/java/org/baygw/control/sim/Checker.java
@@ -41,6 +41,12 @@
   final Set<String> broken = new TreeSet<>();
   int starts;
 
+  /** Jobs' first starts. */
+  final Map<String, Long> begun = new HashMap<>();
+
+  /** When a question about a job was last answered, and when it was first accepted. */
+  private final Map<String, Long> answeredAt = new HashMap<>();
+
   Checker(World world) {
     this.world = world;
   }
@@ -84,6 +90,18 @@
     return told.get(id);
   }
 
+  /** Once all troubles are over, a job about which nothing is answered for so long is forgotten. */
+  static final long FORGOTTEN_MS = 75_000;
+
+  void over(long troublesEnd) {
+    answeredAt.forEach(
+        (id, at) -> {
+          if (world.now() - Math.max(at, troublesEnd) > FORGOTTEN_MS) {
+            breaks("forgotten", id);
+          }
+        });
+  }
+
   private void breaks(String rule, String what) {
     broken.add(rule + ": " + what);
   }
@@ -91,6 +109,7 @@
   void started(FakeWorker w, String task) {
     starts++;
     Submitted s = job(task);
+    begun.putIfAbsent(s.id(), world.now());
     Set<FakeWorker> at = on.computeIfAbsent(task, k -> new HashSet<>());
     if (!at.isEmpty()) {
       breaks("ran_twice", task);
@@ -164,6 +183,7 @@
       breaks("invented", id);
       return;
     }
+    answeredAt.put(id, world.now());
     String now = body.path("status").asText();
     boolean wasFinal = "done".equals(before) || "cancelled".equals(before);
     if (wasFinal && !now.equals(before)
--- a/src/test/java/org/baygw/control/sim/FakeState.java
+++ b/src/test/java/org/baygw/control/sim/FakeState.java
@@ -33,6 +33,14 @@
   private long outageUntil;
   private final Map<String, Long> outageFor = new HashMap<>();
   private int keepHistory = 10_000;
+  private final double[] level = {0, 0};
+  private long levelAt;
+  private boolean limited;
+
+  /** Changes asked for, by the kind of key. */
+  final Map<String, Integer> writes = new TreeMap<>();
+
+  int refusals;
 
   FakeState(World world) {
     this.world = world;
@@ -53,6 +61,28 @@
     }
   }
 
+  /** Refuses what goes over the limits in the settings. */
+  void limit() {
+    limited = true;
+    level[0] = world.stateRps;
+    level[1] = world.stateWriteRps;
+  }
+
+  private boolean over(int changes) {
+    double[] most = {world.stateRps, world.stateWriteRps};
+    int[] cost = {1, changes};
+    boolean over = false;
+    for (int i = 0; i < 2; i++) {
+      level[i] = Math.min(most[i], level[i] + (world.now() - levelAt) * most[i] / 1000);
+      over |= level[i] < cost[i];
+    }
+    levelAt = world.now();
+    for (int i = 0; i < 2 && !over; i++) {
+      level[i] -= cost[i];
+    }
+    return over;
+  }
+
   void keepHistory(int changes) {
     keepHistory = changes;
   }
@@ -62,6 +92,10 @@
     return i == null ? null : i.value();
   }
 
+  boolean has(String under) {
+    return items.keySet().stream().anyMatch(k -> k.startsWith(under));
+  }
+
   private boolean down(String from) {
     return world.now() < outageUntil || world.now() < outageFor.getOrDefault(from, 0L);
   }
@@ -107,6 +141,15 @@
       respond.done(503, Json.bytes(Json.object().put("error", "outage")));
       return;
     }
+    for (JsonNode t : n.path("then")) {
+      String key = t.path("write").asText(t.path("delete").asText());
+      writes.merge(key.split("/")[1], 1, Integer::sum);
+    }
+    if (limited && over(n.path("then").size())) {
+      refusals++;
+      respond.done(429, Json.bytes(Json.object()));
+      return;
+    }
     String[] split = path.split("\\?", 2);
     Map<String, String> q = new HashMap<>();
     if (split.length > 1) {
--- a/src/test/java/org/baygw/control/sim/Scenario.java
+++ b/src/test/java/org/baygw/control/sim/Scenario.java
@@ -4,8 +4,10 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.baygw.control.config.Settings;
 import org.baygw.control.core.Json;
 import org.baygw.control.core.Outbox;
@@ -22,6 +24,10 @@
   private long end = 60_000;
   private World world;
   private boolean expectsBroken;
+  private long troublesEnd;
+
+  /** Jobs about which nothing is asked any more. */
+  private final Set<String> unasked = new HashSet<>();
 
   /** Plays the text and returns what was not as expected. */
   static List<String> play(String text) {
@@ -101,16 +107,28 @@
                   case "capacity" -> world.cloud.capacity = Integer.parseInt(v);
                   case "boot" -> world.cloud.bootMs = seconds(v);
                   case "never-boots" -> world.cloud.nextNeverBoots(Integer.parseInt(v));
+                  case "rps" -> world.stateRps = Double.parseDouble(v);
+                  case "write-rps" -> {
+                    world.stateWriteRps = Double.parseDouble(v);
+                    world.state.limit();
+                  }
                   case "history" -> world.state.keepHistory(Integer.parseInt(v));
                   default -> throw new IllegalArgumentException(k);
                 }
               });
         }
-        default -> world.after(seconds(w[1]), () -> act(w));
+        default -> {
+          if (w[2].equals("every")) {
+            repeat(w);
+          } else {
+            schedule(w);
+          }
+        }
       }
     }
     world.nodes.values().forEach(World.Node::start);
     world.runUntil(end);
+    world.checker.over(troublesEnd);
     for (String[] w : expectations) {
       expect(w);
     }
@@ -119,6 +137,28 @@
     }
   }
 
+  private void schedule(String[] w) {
+    // "late": a copy of a message is trouble until it has come.
+    troublesEnd =
+        Math.max(
+            troublesEnd,
+            seconds(w[1]) + seconds(word(w, "for", "0")) + seconds(word(w, "late", "0")));
+    world.after(seconds(w[1]), () -> act(w));
+  }
+
+  /** at 2 every 0.5 until 60 submit run-# ...: the same again and again, # being a number. */
+  private void repeat(String[] w) {
+    int n = 0;
+    for (long t = seconds(w[1]); t <= seconds(w[5]); t += seconds(w[3])) {
+      List<String> one = new ArrayList<>(List.of("at", String.valueOf(t / 1000.0)));
+      for (int i = 6; i < w.length; i++) {
+        one.add(w[i].replace("#", String.valueOf(n)));
+      }
+      n++;
+      schedule(one.toArray(new String[0]));
+    }
+  }
+
   private void act(String[] w) {
     long forMs = seconds(word(w, "for", "0"));
     switch (w[2]) {
@@ -149,6 +189,11 @@
           }
         }
       }
+      case "copies" -> {
+        for (String m : names(w[3])) {
+          world.copies(m, seconds(word(w, "late", "0")), forMs);
+        }
+      }
       case "state-outage" -> world.state.outage(word(w, "only", null), forMs);
       case "cloud-outage" -> world.cloud.outage(forMs);
       case "capacity" -> world.cloud.capacity = Integer.parseInt(w[3]);
@@ -176,7 +221,9 @@
 
   /** Breaks a rule in the world itself, to show that the checker sees it. */
   private void violate(String[] w) {
-    if (w[3].equals("launch")) {
+    if (w[3].equals("silence")) {
+      unasked.add(w[4]);
+    } else if (w[3].equals("launch")) {
       world.workers.get(w[4]).force(w[5]);
     } else {
       world.checker.answered(
@@ -264,7 +311,11 @@
   private void polls(String id) {
     world.after(
         1_500 + world.random.nextInt(1_000),
-        () -> ask("GET", "/v1/jobs/" + id, null, id, 0, this::polls));
+        () -> {
+          if (!unasked.contains(id)) {
+            ask("GET", "/v1/jobs/" + id, null, id, 0, this::polls);
+          }
+        });
   }
 
   private void abort(String id) {
@@ -293,6 +344,20 @@
           failures.add(w[2] + " has " + on + " tasks on machines");
         }
       }
+      case "begun" -> {
+        Long at = world.checker.begun.get(w[2]);
+        if (at == null || at > seconds(word(w, "by", "0"))) {
+          failures.add(w[2] + " began at " + at);
+        }
+      }
+      case "changes-a-start-at-most" -> {
+        int changes = world.state.writes.values().stream().mapToInt(i -> i).sum();
+        if (changes > Double.parseDouble(w[2]) * world.checker.starts) {
+          failures.add(
+              changes + " changes for " + world.checker.starts + " starts: " + world.state.writes
+                  + ", " + world.state.refusals + " requests refused");
+        }
+      }
       case "never-left" -> {
         if (world.checker.everLeft.contains(w[2])) {
           failures.add("a task of " + w[2] + " left its machine");
@@ -313,6 +378,11 @@
           failures.add(world.cloud.size() + " machines");
         }
       }
+      case "no-machine-on-record" -> {
+        if (world.state.has("b/machine/")) {
+          failures.add("a machine is on record");
+        }
+      }
       case "broken" -> {
         expectsBroken = true;
         if (world.checker.broken.stream().noneMatch(b -> b.startsWith(w[2] + ":"))) {
--- a/src/test/java/org/baygw/control/sim/StormTest.java
+++ b/src/test/java/org/baygw/control/sim/StormTest.java
@@ -49,7 +49,7 @@
       String[] kinds = {"hold", "drop", "lose_answers"};
       String k = kinds[r.nextInt(3)];
       String fault =
-          switch (r.nextInt(16)) {
+          switch (r.nextInt(20)) {
             case 0 -> "crash " + c;
             case 1 -> "crash all";
             case 2 -> "crash-desk";
@@ -61,6 +61,10 @@
             case 8 -> "cloud-outage";
             case 9, 10, 11 -> "cut " + c + " state " + k;
             case 12, 13, 14 -> "cut controllers " + m + " hold";
+            case 15 -> "cut controllers " + m + " drop";
+            case 16 -> "copies workers late " + (1 + r.nextInt(30));
+            case 17 -> "crash " + c + " for 0.2\nat " + (at + 0.4) + " crash-desk";
+            case 18 -> "crash all for 0.1\nat " + (at + 0.25) + " crash " + c;
             default -> "cut " + c + " cloud " + k;
           };
       b.append(String.format(Locale.ROOT, "at %.2f %s for %.2f%n", at, fault, span));
--- a/src/test/java/org/baygw/control/sim/World.java
+++ b/src/test/java/org/baygw/control/sim/World.java
@@ -50,6 +50,12 @@
   final Map<String, Node> nodes = new TreeMap<>();
   final List<Settings.Team> teams;
   private final Map<String, CutState> cuts = new HashMap<>();
+
+  /** Workers whose reports are delivered once more, so much later, until then. */
+  private final Map<String, long[]> copies = new HashMap<>();
+
+  double stateRps = 400;
+  double stateWriteRps = 200;
   private final PriorityQueue<Event> events =
       new PriorityQueue<>(
           (a, b) -> a.at() != b.at() ? Long.compare(a.at(), b.at()) : Long.compare(a.order(), b.order()));
@@ -161,7 +167,7 @@
         teams,
         List.of(new Settings.Objective("any", 60, 0)),
         new Settings.WorkerTimes(REPORT_MS / 1000.0, LEASE_MS / 1000.0, CANCEL_MS / 1000.0),
-        new Settings.StateLimits(400, 200, 8, 16),
+        new Settings.StateLimits(stateRps, stateWriteRps, 8, 16),
         new Settings.CloudLimits(10, 3),
         1000);
   }
@@ -187,6 +193,10 @@
     cuts.put(a + ">" + b, new CutState(kind, now + forMs));
   }
 
+  void copies(String from, long lateMs, long forMs) {
+    copies.put(from, new long[] {lateMs, now + forMs});
+  }
+
   private CutState cutOf(String a, String b) {
     CutState c = cuts.get(a + ">" + b);
     return c == null || c.until() <= now ? null : c;
@@ -225,6 +235,10 @@
           }
         };
     after(timeoutMs, () -> once.done(Outbox.NO_ANSWER, new byte[0]));
+    long[] copy = path.equals("/checkin") ? copies.get(from) : null;
+    if (copy != null && now < copy[1]) {
+      after(copy[0], () -> arrive(from, to, false, method, path, body, (status, answer) -> {}));
+    }
     CutState there = cutOf(from, to);
     if (there != null && there.kind() == Cut.DROP) {
       return;
