Return a machine once, look into emptiable machines only, and do not call a stall silence

A test's cut showed machines returned in the seconds after it ended. Rounds had 165 tasks and 80 machines: 2,000 nodes of 13,000 looks each. Excluded: a list written twice (its conditions never failed). Change: the desk remembers what it returned until it is no longer listed; silent machines are kept two report periods beyond a cut; a controller that fell behind does not take that for its workers' silence; a round's search has only the tasks of machines that it could empty, cheapest ones last; the desk's memory is cleaned every 10 s, all tasks are looked at every 1.5 s.

--- a/src/main/java/org/baygw/control/Constants.java
+++ b/src/main/java/org/baygw/control/Constants.java
@@ -155,12 +155,18 @@
   /** ms for a worker's answer when it is asked whether it is there. */
   public static final int SHOW_TIMEOUT_MS = 1_500;
 
+  /** ms without a tick that show that this controller itself fell behind, so that silence proves nothing. */
+  public static final long STALL_MS = 400;
+
   /** Share of all machines silent at once that points at the network, not at them. */
   public static final double SILENT_SHARE_MAX = 0.4;
 
   /** Report periods a silent machine is kept in any case, to see whether others fall silent too. */
   public static final double SILENT_REPORTS = 0.5;
 
+  /** Report periods for which machines silent at the end of such a cut are kept: they look for a node. */
+  public static final double SILENT_AFTER_CUT = 2;
+
   /** ms for which so many silent machines are kept: a cut ends, and new machines take a boot. */
   public static final long SILENT_KEEP_MS = 60_000;
 
@@ -170,8 +176,11 @@
   /** ms a granted task may wait in a part with no fitting machine before it goes back to the queue. */
   public static final long UNGRANT_MS = 4_000;
 
-  /** ms between looks over all machines of an owner; what changes is looked at at once. */
-  public static final long LOOK_MS = 400;
+  /** ms between looks at which of an owner's machines are quiet; what changes is looked at at once. */
+  public static final long LOOK_MS = 300;
+
+  /** ms between looks at all tasks of all its machines, for what no change brought to notice. */
+  public static final long LOOK_ALL_MS = 1_500;
 
   /** ms between the desk's passes over the queue. */
   public static final long DESK_PASS_MS = 100;
@@ -179,6 +188,9 @@
   /** ms between them while tokens for writes are scarce: more tasks of a job share a grant. */
   public static final long DESK_SCARCE_MS = 400;
 
+  /** ms between two looks for what the desk need not remember any more. */
+  public static final long DESK_CLEAN_MS = 10_000;
+
   /** Errors on a machine with no completed task in between that make it sick. */
   public static final int SICK_ERRORS = 3;
 
@@ -236,6 +248,12 @@
   /** s. Tasks that run longer stay put: a move restarts a task that cannot save, so it must be young. */
   public static final double AGE_LIMIT_S = 5;
 
+  /**
+   * Tasks a round looks at for each move it may make: those of the machines that are emptied most
+   * cheaply. More only make the search longer, for a move a machine is the least it takes.
+   */
+  public static final int ROUND_TASKS_PER_MOVE = 4;
+
   /** ms after which a planned move that did not come about is dropped. */
   public static final long MOVE_PLAN_MS = 15_000;
 
--- a/src/main/java/org/baygw/control/fleet/Fleet.java
+++ b/src/main/java/org/baygw/control/fleet/Fleet.java
@@ -88,6 +88,12 @@
 
   /** Machines the cloud has taken back, until that is durable and they are off the list. */
   private final Set<String> gone = new HashSet<>();
+  /** Machines given back that the cloud may still list. */
+  private final Set<String> returned = new HashSet<>();
+
+  /** When so many were silent last that it looked like a cut. */
+  private long cutAt = Long.MIN_VALUE / 2;
+
   private boolean returning;
   private long nextReturn;
   private long nextPlan;
@@ -183,6 +189,7 @@
                 listed.put(l.name(), l);
                 expected.remove(l.name());
               }
+              returned.removeIf(m -> !listed.containsKey(m) && !view.drains.containsKey(m));
             }
           });
     }
@@ -282,6 +289,9 @@
     List<Room> rooms = new ArrayList<>();
     for (Cloud.Listed l : listed.values()) {
       MachineType type = view.type(l.type());
+      if (returned.contains(l.name())) {
+        continue; // the list lags: the cloud has taken it back
+      }
       if (type != null && !l.status().equals("failed") && !view.machines.containsKey(l.name())
           && !view.drains.containsKey(l.name()) && !draining.contains(l.name())) {
         if (age(l, now) > type.bootS() * Constants.BOOT_GIVE_UP) {
@@ -420,6 +430,7 @@
     boolean cut =
         silentSince.size() > 2
             && silentSince.size() > view.machines.size() * Constants.SILENT_SHARE_MAX;
+    cutAt = cut ? now : cutAt;
     for (View.Entry<Machine> e : List.copyOf(view.machines.values())) {
       Machine m = e.value();
       if (view.drains.containsKey(m.name()) || draining.contains(m.name())) {
@@ -459,7 +470,9 @@
   private boolean keep(Machine m, long now, boolean cut) {
     long silent = now - silentSince.get(m.name());
     if (!cut) {
-      return silent < settings.workers().reportS() * 1000 * Constants.SILENT_REPORTS;
+      double reportMs = settings.workers().reportS() * 1000;
+      return now - cutAt < reportMs * Constants.SILENT_AFTER_CUT
+          || silent < reportMs * Constants.SILENT_REPORTS;
     }
     long limit = Constants.SILENT_KEEP_MS;
     for (TaskId t : m.tasks().keySet()) {
@@ -582,6 +595,7 @@
           LOG.info("returned {}", names);
           returning = false;
           gone.addAll(names);
+          returned.addAll(names);
         });
   }
 }
--- a/src/main/java/org/baygw/control/placement/Room.java
+++ b/src/main/java/org/baygw/control/placement/Room.java
@@ -92,6 +92,11 @@
     return memoryGb;
   }
 
+  /** Whether a task of the job is there. */
+  public boolean holds(String job) {
+    return jobs.contains(job);
+  }
+
   public int tasks() {
     return tasks;
   }
--- a/src/main/java/org/baygw/control/quota/Desk.java
+++ b/src/main/java/org/baygw/control/quota/Desk.java
@@ -69,6 +69,7 @@
 
   private List<Unmet> unmet = List.of();
   private long nextPass;
+  private long nextClean;
   private long seenChanges = -1;
 
   /** What a team's live tasks take. */
@@ -229,7 +230,10 @@
     for (Queued q : queue) {
       serve(q, free, use.get(q.spec().team()), left);
     }
-    grantedAt.keySet().removeIf(t -> !live(t) && !busy.containsKey(t.job()));
+    if (clock.now() >= nextClean) {
+      nextClean = clock.now() + Constants.DESK_CLEAN_MS;
+      grantedAt.keySet().removeIf(t -> !live(t) && !busy.containsKey(t.job()));
+    }
     stopping.removeIf(t -> !live(t));
     preempt(left, use);
     unmet = left;
--- a/src/main/java/org/baygw/control/workers/Contact.java
+++ b/src/main/java/org/baygw/control/workers/Contact.java
@@ -30,6 +30,7 @@
   private final Placing placing;
   private final Rounds rounds;
   private final Heard heard;
+  private long stalledAt;
   private final Histogram launchMs =
       new Histogram(Constants.HISTOGRAM_MAX_MS, Constants.HISTOGRAM_DIGITS);
 
@@ -58,8 +59,16 @@
 
   boolean silent(Agent a) {
     double reports = Constants.LOST_REPORTS * settings.workers().reportS() * 1000;
-    return a.deaf()
-        || a.unanswered && clock.now() - Math.max(a.lastHeard, a.since) > reports;
+    return a.deaf() || a.unanswered && clock.now() - heardAt(a) > reports;
+  }
+
+  /** This controller fell behind: what workers said meanwhile may still wait to be read. */
+  void stalled() {
+    stalledAt = clock.now();
+  }
+
+  private long heardAt(Agent a) {
+    return Math.max(stalledAt, Math.max(a.lastHeard, a.since));
   }
 
   /**
@@ -69,8 +78,7 @@
   void ask(Agent a) {
     long now = clock.now();
     boolean quiet =
-        now - Math.max(a.lastHeard, a.since)
-            > Constants.ASK_REPORTS * settings.workers().reportS() * 1000;
+        now - heardAt(a) > Constants.ASK_REPORTS * settings.workers().reportS() * 1000;
     if (a.asking || a.directBusy || a.addr.isEmpty() || now < a.nextAsk
         || !quiet && (a.trusted() || a.lastHeard > 0)) {
       return;
--- a/src/main/java/org/baygw/control/workers/Ledger.java
+++ b/src/main/java/org/baygw/control/workers/Ledger.java
@@ -256,7 +256,7 @@
         d.next.conditions().remove(name);
       } else {
         d.next.conditions().put(name, condition);
-        LOG.info("{} is {}", name, condition);
+        d.after.add(() -> LOG.info("{} is {}", name, wanted));
       }
     }
   }
--- a/src/main/java/org/baygw/control/workers/Proofs.java
+++ b/src/main/java/org/baygw/control/workers/Proofs.java
@@ -33,8 +33,8 @@
     return leaseMs;
   }
 
-  /** Notes it when a worker's session must be over, with all tasks it had. */
-  void lease(Agent a) {
+  /** Notes it when a worker's session must be over, with all tasks it had; true if it just did. */
+  boolean lease(Agent a) {
     if (a.trusted()
         && clock.now() > a.lastAnswered + leaseMs + Constants.LEASE_MARGIN_MS
         && !a.leaseOver) {
@@ -45,7 +45,9 @@
       a.seen = new LinkedHashMap<>();
       a.session++;
       a.tick = -1;
+      return true;
     }
+    return false;
   }
 
   /** The tasks of the machine's record that are proved gone from it. */
--- a/src/main/java/org/baygw/control/workers/Rounds.java
+++ b/src/main/java/org/baygw/control/workers/Rounds.java
@@ -1,6 +1,7 @@
 package org.baygw.control.workers;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -127,40 +128,42 @@
     List<BranchAndBound.Item> items = new ArrayList<>();
     tasks = new ArrayList<>();
     machines = rooms.stream().map(r -> r.machine().name()).toList();
+    int most = (int) Math.ceil(rooms.size() * params.moveShare());
+    Map<Integer, List<TaskId>> movable =
+        emptiable(view, params, rooms, age, pinned, most * Constants.ROUND_TASKS_PER_MOVE);
     for (int p = 0; p < rooms.size(); p++) {
       Room r = rooms.get(p);
       double[] free = {r.freeCpus(), r.freeGpus(), r.freeMemoryGb()};
-      boolean stays = false;
-      for (TaskId t : r.machine().tasks().keySet()) {
-        View.Entry<Job> j = view.jobs.get(t.job());
-        if (j == null) {
-          continue;
-        }
-        JobSpec s = j.value().spec();
-        if (s.oneZone() || pinned.pinned(r.machine().name(), t)
-            || age.ageS(r.machine().name(), t) > params.ageLimitS()) {
-          stays = true;
-          continue;
-        }
-        boolean[] allowed = new boolean[rooms.size()];
-        for (int q = 0; q < allowed.length; q++) {
-          var m = rooms.get(q).machine();
-          allowed[q] =
-              q == p
-                  || Room.allowed(s, m.type(), m.zone(), m.spot())
-                      // A replica is down while its image is fetched.
-                      && (!s.service() || cached.cached(m.name(), s.image()))
-                      && (!s.spread() || m.zone().equals(r.machine().zone()));
-        }
+      for (TaskId t : movable.getOrDefault(p, List.of())) {
+        JobSpec s = view.jobs.get(t.job()).value().spec();
         double[] load = {s.cpus(), s.gpus(), s.memoryGb()};
         for (int k = 0; k < load.length; k++) {
           free[k] += load[k];
         }
-        items.add(new BranchAndBound.Item(load, p, s.service() ? s.id() : null, allowed));
-        tasks.add(t);
       }
+      boolean stays = !movable.containsKey(p) && !r.machine().tasks().isEmpty();
       hosts.add(new BranchAndBound.Host(free, stays));
     }
+    movable.forEach(
+        (p, list) -> {
+          for (TaskId t : list) {
+            JobSpec s = view.jobs.get(t.job()).value().spec();
+            boolean[] allowed = new boolean[rooms.size()];
+            for (int q = 0; q < allowed.length; q++) {
+              var m = rooms.get(q).machine();
+              allowed[q] =
+                  q == p
+                      || Room.allowed(s, m.type(), m.zone(), m.spot())
+                          // A replica is down while its image is fetched.
+                          && (!s.service() || cached.cached(m.name(), s.image()))
+                          && (!s.service() || !rooms.get(q).holds(s.id()))
+                          && (!s.spread() || m.zone().equals(rooms.get(p).machine().zone()));
+            }
+            double[] load = {s.cpus(), s.gpus(), s.memoryGb()};
+            items.add(new BranchAndBound.Item(load, p, s.service() ? s.id() : null, allowed));
+            tasks.add(t);
+          }
+        });
     pending.forEach(
         (t, part) -> {
           View.Entry<Job> j = view.jobs.get(t.job());
@@ -176,7 +179,6 @@
             tasks.add(t);
           }
         });
-    int most = (int) Math.ceil(rooms.size() * params.moveShare());
     if (items.isEmpty() || most == 0) {
       return;
     }
@@ -185,6 +187,46 @@
     searched++;
   }
 
+  /**
+   * The machines that a round could empty, by index, with their tasks: nothing on them stays, and they
+   * hold fewer than alpha/mu tasks, or emptying them would not pay. The tasks of all others stay where
+   * they are. Those with the most tasks come first: the search changes last what it placed first, so
+   * the machines that are emptied most cheaply are tried before the others.
+   */
+  private static Map<Integer, List<TaskId>> emptiable(
+      View view, Params params, List<Room> rooms, Age age, Pinned pinned, int mostTasks) {
+    Map<Integer, List<TaskId>> found = new HashMap<>();
+    for (int p = 0; p < rooms.size(); p++) {
+      String name = rooms.get(p).machine().name();
+      List<TaskId> list = List.copyOf(rooms.get(p).machine().tasks().keySet());
+      if (list.isEmpty() || list.size() >= params.alpha() / params.mu()) {
+        continue;
+      }
+      boolean all = true;
+      for (TaskId t : list) {
+        View.Entry<Job> j = view.jobs.get(t.job());
+        all &=
+            j != null && !j.value().spec().oneZone() && !pinned.pinned(name, t)
+                && age.ageS(name, t) <= params.ageLimitS();
+      }
+      if (all) {
+        found.put(p, list);
+      }
+    }
+    List<Integer> order = new ArrayList<>(found.keySet());
+    order.sort(Comparator.comparing((Integer p) -> found.get(p).size()).thenComparing(p -> p));
+    int sum = 0;
+    int taken = 0;
+    while (taken < order.size() && sum + found.get(order.get(taken)).size() <= mostTasks) {
+      sum += found.get(order.get(taken++)).size();
+    }
+    Map<Integer, List<TaskId>> out = new LinkedHashMap<>();
+    for (int i = taken - 1; i >= 0; i--) {
+      out.put(order.get(i), found.get(order.get(i)));
+    }
+    return out;
+  }
+
   private Map<TaskId, String> finish(long now) {
     Map<TaskId, String> placed = new LinkedHashMap<>();
     int[] best = search.best();
--- a/src/main/java/org/baygw/control/workers/Workers.java
+++ b/src/main/java/org/baygw/control/workers/Workers.java
@@ -49,6 +49,8 @@
   private final Contact contact;
   private long nextPass;
   private long seenChanges = -1;
+  private long nextAll;
+  private long lastTick;
 
   public Workers(
       Clock clock,
@@ -122,20 +124,25 @@
       return;
     }
     long now = clock.now();
+    if (lastTick > 0 && now - lastTick > Constants.STALL_MS) {
+      contact.stalled();
+    }
+    lastTick = now;
     boolean whole = now >= nextPass;
     if (whole || view.changes() != seenChanges) {
       seenChanges = view.changes();
-      Set<String> look = view.takeChangedMachines();
+      view.takeChangedMachines().forEach(m -> lookAt(m, true));
       if (whole) {
         nextPass = now + Constants.LOOK_MS;
+        boolean all = now >= nextAll;
+        nextAll = all ? now + Constants.LOOK_ALL_MS : nextAll;
         agents.values().removeIf(a -> !a.busy && !owns(a));
         for (Part p : membership.parts()) {
           if (membership.owned(p) != 0) {
-            look.addAll(view.machinesOf(p));
+            List.copyOf(view.machinesOf(p)).forEach(m -> lookAt(m, all));
           }
         }
       }
-      look.forEach(this::lookAt);
     }
     for (Part p : membership.parts()) {
       long claim = membership.owned(p);
@@ -147,7 +154,7 @@
     }
   }
 
-  private void lookAt(String name) {
+  private void lookAt(String name, boolean all) {
     View.Entry<Machine> e = view.machines.get(name);
     long claim = e == null ? 0 : membership.owned(e.value().part());
     if (claim == 0) {
@@ -167,9 +174,12 @@
     // Also while its record cannot be written: in an outage of the state service a cut may end, and
     // the machine must not be taken for silent afterwards.
     contact.ask(a);
-    proofs.lease(a);
-    settle(a, m, l);
-    contact.urgent(a, m, l);
+    if (proofs.lease(a) || all) {
+      settle(a, m, l);
+      contact.urgent(a, m, l);
+    } else if (condition(a, m) != m.condition()) {
+      settle(a, m, l);
+    }
   }
 
   private Machine.Condition condition(Agent a, Machine m) {
@@ -311,7 +321,7 @@
 
     @Override
     public void placed(Set<String> machines) {
-      machines.forEach(Workers.this::lookAt);
+      machines.forEach(m -> lookAt(m, true));
     }
   }
 
@@ -386,7 +396,9 @@
       View.Entry<Machine> e = view.machines.get(a.name);
       long claim = e == null ? 0 : membership.owned(e.value().part());
       if (claim == a.claim && claim != 0) {
-        settle(a, e.value(), ledger(e.value().part(), claim));
+        Ledger l = ledger(e.value().part(), claim);
+        settle(a, e.value(), l);
+        contact.urgent(a, e.value(), l);
       }
     }
   }
