Read all keys anew when the copy fell behind, and hear of lost claims from workers

Change: after 7 s without an answered watch or sync all keys are read (130 KB) instead of all changes; also after a 410, without refusing requests meanwhile. A worker that shows a newer claim's token ends the older claim at once. Among machines that suit as well the one with the least room comes first, so that others empty.

--- a/src/main/java/org/baygw/control/Constants.java
+++ b/src/main/java/org/baygw/control/Constants.java
@@ -63,7 +63,13 @@
   public static final long HISTOGRAM_MAX_MS = 3_600_000;
 
   /** ms a watch stays open at the state service; also bounds how long a dead connection is unseen. */
-  public static final long WATCH_WAIT_MS = 8_000;
+  public static final long WATCH_WAIT_MS = 4_000;
+
+  /**
+   * ms without an answered watch or sync after which all keys are read instead of all changes: longer
+   * than a watch with nothing to tell stays open, and twice its time to be given up.
+   */
+  public static final long BEHIND_MS = 7_000;
 
   /** ms at least between the openings of two watches: each counts as a request. */
   public static final long WATCH_GAP_MS = 50;
--- a/src/main/java/org/baygw/control/membership/Membership.java
+++ b/src/main/java/org/baygw/control/membership/Membership.java
@@ -36,6 +36,9 @@
   private final Map<String, Long> firstSeen = new HashMap<>();
   private final Map<Set<String>, Map<Part, String>> ownersOf = new HashMap<>();
 
+  /** Claims that are known to be over though the copy still has them, by their stamps. */
+  private final Map<String, Long> overtaken = new HashMap<>();
+
   private long hold;
   private boolean busy;
   private long nextTouch;
@@ -66,10 +69,21 @@
   public long owned(String claim) {
     View.Entry<View.Claim> c = view.claims.get(claim);
     return c != null && hold != 0 && c.value().hold() == hold && view.revision() >= c.stamp()
+            && c.stamp() > overtaken.getOrDefault(claim, 0L)
         ? c.stamp()
         : 0;
   }
 
+  /**
+   * A worker of the part has shown a newer claim's token: whatever this controller's copy says, which
+   * the state service may refuse to renew, its own claim is over.
+   */
+  public void overtaken(Part p, long stamp) {
+    if (overtaken.merge(p.toString(), stamp, Math::max) == stamp) {
+      LOG.info("{} has passed to another controller", p);
+    }
+  }
+
   public long owned(Part p) {
     return owned(p.toString());
   }
@@ -81,7 +95,8 @@
   /** The label of the controller that holds the part, or null. */
   public String owner(Part p) {
     View.Entry<View.Claim> c = view.claims.get(p.toString());
-    return c == null ? null : c.value().owner();
+    boolean over = c == null || c.stamp() <= overtaken.getOrDefault(p.toString(), 0L);
+    return over ? null : c.value().owner();
   }
 
   public void tick() {
--- a/src/main/java/org/baygw/control/placement/Room.java
+++ b/src/main/java/org/baygw/control/placement/Room.java
@@ -135,6 +135,21 @@
     return s.service() ? image * 2 + used : (s.spot() && machine.spot() ? 4 : 0) + used * 2 + image;
   }
 
+  /**
+   * Whether the task is better put here than there. Among machines that suit as well the one with the
+   * least room left, as in the search, so that others empty; then the oldest for services, which
+   * stay, and the newest for arrays, which soon leave. Machines are to be compared in order of age.
+   */
+  public boolean better(Room than, JobSpec s) {
+    int a = rank(s);
+    int b = than.rank(s);
+    if (a != b) {
+      return a > b;
+    }
+    double more = cpus - than.cpus;
+    return Math.abs(more) > Constants.EPS ? more < 0 : !s.service();
+  }
+
   public void take(JobSpec s) {
     cpus -= s.cpus();
     gpus -= s.gpus();
--- a/src/main/java/org/baygw/control/quota/Desk.java
+++ b/src/main/java/org/baygw/control/quota/Desk.java
@@ -629,17 +629,15 @@
       }
       double free = 0;
       Room fit = null;
-      int rank = -1;
       for (Room r : e.getValue()) {
         if (r.fits(s)) {
           free += r.tasks() > 0 ? r.freeCpus() : 0;
-          int score = r.rank(s);
-          if (score > rank || score == rank && !s.service()) {
+          if (fit == null || r.better(fit, s)) {
             fit = r;
-            rank = score;
           }
         }
       }
+      int rank = fit == null ? -1 : fit.rank(s);
       if (fit != null && (rank > bestRank || rank == bestRank && free > most)) {
         best = new Place(e.getKey(), fit);
         most = free;
--- a/src/main/java/org/baygw/control/store/Store.java
+++ b/src/main/java/org/baygw/control/store/Store.java
@@ -81,6 +81,9 @@
   private List<Consumer<Boolean>> syncWaiters = new ArrayList<>();
   private long lastContact = Long.MIN_VALUE / 2;
 
+  /** When the copy was last made current. */
+  private long lastCurrent = Long.MIN_VALUE / 2;
+
   public Store(Clock clock, Outbox out, Settings s, View view) {
     this.clock = clock;
     this.out = out;
@@ -121,12 +124,12 @@
 
   public void tick() {
     long now = clock.now();
-    if (!loaded) {
-      if (!loading && now >= nextWatch) {
+    if (!loaded || behind()) {
+      if (!loading && !watching && !syncing && now >= nextWatch) {
         loading = true;
         list("", 0, new HashSet<>());
       }
-    } else {
+    } else if (!loading) {
       if (!watching && now >= nextWatch) {
         watch();
       }
@@ -159,6 +162,14 @@
     return writes.fullness(clock.now()) < Constants.SCARCE;
   }
 
+  /**
+   * Whether so much may have changed since the copy was current that reading all keys anew is less
+   * than reading all changes: an answer with a minute's changes takes longer than its call may.
+   */
+  private boolean behind() {
+    return clock.now() - lastCurrent > Constants.BEHIND_MS;
+  }
+
   /** Sends a conditional write; it is refused if no token comes free within waitMs. */
   public void txn(Urgency u, Txn t, long waitMs, Consumer<Outcome> then) {
     long asked = clock.now();
@@ -304,7 +315,7 @@
   /** Runs the action once the view holds all that was durable when this was called, or has failed. */
   public void current(Consumer<Boolean> then) {
     syncWaiters.add(then);
-    if (loaded && !syncing && clock.now() >= nextSync) {
+    if (loaded && !loading && !syncing && !behind() && clock.now() >= nextSync) {
       sync();
     }
   }
@@ -390,6 +401,7 @@
           if (status != 200 || !n.path("ledgerRev").isNumber()) {
             loading = false;
             nextWatch = clock.now() + Constants.STATE_RETRY_MS;
+            answerWaiters(false);
             return;
           }
           long rev = firstRev == 0 ? n.path("ledgerRev").asLong() : firstRev;
@@ -412,10 +424,17 @@
           view.reached(rev);
           loading = false;
           loaded = true;
+          lastCurrent = clock.now();
           LOG.info("read {} keys at revision {}", seen.size(), rev);
         });
   }
 
+  private void answerWaiters(boolean ok) {
+    List<Consumer<Boolean>> waiters = syncWaiters;
+    syncWaiters = new ArrayList<>();
+    waiters.forEach(w -> w.accept(ok));
+  }
+
   private void watch() {
     if (!requests.take(clock.now(), 1)) {
       return;
@@ -463,7 +482,7 @@
 
   private boolean events(int status, byte[] answer) {
     if (status == 410) {
-      loaded = false; // too far behind: everything is read again
+      lastCurrent = Long.MIN_VALUE / 2; // too far behind: everything is read again
       return false;
     }
     JsonNode n = status == 200 ? Json.parse(answer) : null;
@@ -482,6 +501,7 @@
       }
     }
     view.reached(n.path("ledgerRev").asLong());
+    lastCurrent = clock.now();
     return true;
   }
 }
--- a/src/main/java/org/baygw/control/workers/Placing.java
+++ b/src/main/java/org/baygw/control/workers/Placing.java
@@ -190,17 +190,13 @@
     return null;
   }
 
-  /**
-   * The best suited machine; among equals the oldest for services, which stay, and the newest for
-   * arrays, which soon leave.
-   */
+  /** The best suited machine. */
   private Room firstFit(List<Room> free, JobSpec s) {
     Backoff b = backoffs.get(s.id());
     if (b != null && clock.now() < b.until) {
       return null;
     }
     Room best = null;
-    int bestScore = -1;
     for (Room r : free) {
       if (!r.fits(s)) {
         continue;
@@ -208,10 +204,8 @@
       if (b != null && b.machines.getOrDefault(r.machine().name(), 0L) > clock.now()) {
         continue;
       }
-      int score = r.rank(s);
-      if (score > bestScore || score == bestScore && !s.service()) {
+      if (best == null || r.better(best, s)) {
         best = r;
-        bestScore = score;
       }
     }
     return best;
--- a/src/main/java/org/baygw/control/workers/Workers.java
+++ b/src/main/java/org/baygw/control/workers/Workers.java
@@ -93,7 +93,7 @@
     Agent a = agent(r.machine(), claim);
     if (r.token() > a.token()) {
       // Someone with a newer claim speaks to it; a 200 of ours would only hold it here.
-      store.refresh();
+      overtaken(part, a, r);
       out.answer(request, 421, Json.bytes(WorkerCodec.home(null)));
       return;
     }
@@ -325,6 +325,13 @@
     }
   }
 
+  private void overtaken(Part part, Agent a, WorkerCodec.Report r) {
+    if (r.token() >> Constants.TOKEN_BITS > a.claim) {
+      membership.overtaken(part, a.claim);
+    }
+    store.refresh();
+  }
+
   /** Takes in a report, from wherever it came. */
   private void take(Agent a, WorkerCodec.Report r, boolean checkin) {
     if (r.session() > a.session) {
@@ -389,7 +396,7 @@
       return;
     }
     if (r.token() > a.token()) {
-      store.refresh();
+      overtaken(Part.of(r.machine(), r.zone(), view.partsPerZone()), a, r);
     } else if (a.newer(r.session(), r.tick()) && !a.leaseOver) {
       a.unheeded = 0; // it answered us, so it hears us
       take(a, r, false);
--- a/src/test/java/org/baygw/control/sim/FakeState.java
+++ b/src/test/java/org/baygw/control/sim/FakeState.java
@@ -61,6 +61,9 @@
     }
   }
 
+  /** An answer with more changes than this takes longer than any caller waits. */
+  int backlog = Integer.MAX_VALUE;
+
   /** Refuses what goes over the limits in the settings. */
   void limit() {
     limited = true;
@@ -96,6 +99,16 @@
     return items.keySet().stream().anyMatch(k -> k.startsWith(under));
   }
 
+  /** Whether the controller holds the claim of a part. */
+  boolean holds(String label) {
+    return items.entrySet().stream()
+        .anyMatch(
+            e ->
+                e.getKey().startsWith("b/claim/")
+                    && !e.getKey().endsWith("/desk")
+                    && e.getValue().value().path("owner").asText().equals(label));
+  }
+
   private boolean down(String from) {
     return world.now() < outageUntil || world.now() < outageFor.getOrDefault(from, 0L);
   }
@@ -280,6 +293,9 @@
     if (events.isEmpty() && world.now() < w.until()) {
       return false;
     }
+    if (events.size() > backlog) {
+      return true;
+    }
     w.respond().done(200, Json.bytes(out));
     return true;
   }
--- a/src/test/java/org/baygw/control/sim/Scenario.java
+++ b/src/test/java/org/baygw/control/sim/Scenario.java
@@ -112,6 +112,7 @@
                     world.stateWriteRps = Double.parseDouble(v);
                     world.state.limit();
                   }
+                  case "backlog" -> world.state.backlog = Integer.parseInt(v);
                   case "history" -> world.state.keepHistory(Integer.parseInt(v));
                   default -> throw new IllegalArgumentException(k);
                 }
@@ -378,6 +379,13 @@
           failures.add(world.cloud.size() + " machines");
         }
       }
+      case "all-own-parts" -> {
+        for (String label : world.labels) {
+          if (!world.state.holds(label)) {
+            failures.add(label + " holds no part");
+          }
+        }
+      }
       case "no-machine-on-record" -> {
         if (world.state.has("b/machine/")) {
           failures.add("a machine is on record");
