Wait 0.4 boots for spot machines before renting dearer ones, send a booking once

Change: array work waits 0.4 boots before a dearer kind is rented for it; a booking whose name could not be deleted keeps its answer. A deaf worker counts its signs over three leases.

--- a/src/main/java/org/baygw/control/Constants.java
+++ b/src/main/java/org/baygw/control/Constants.java
@@ -132,11 +132,14 @@
   public static final long LEASE_MARGIN_MS = 500;
 
   /**
-   * Reports in a row that show that our answers do not arrive: one answer is now and then lost, and a
-   * report may have been sent before the answer came.
+   * Reports that show that our answers do not arrive before a worker counts as deaf: one answer is now
+   * and then lost, and a report may have been sent before the answer came.
    */
   public static final int DEAF_REPORTS = 3;
 
+  /** Leases within which they count together: a deaf worker's session ends once a lease. */
+  public static final int DEAF_LEASES = 3;
+
   /** Report periods of silence after which a worker is asked: a period is at most 1.25 of them. */
   public static final double ASK_REPORTS = 1.6;
 
@@ -227,6 +230,9 @@
   /** Boot times an empty machine is kept: what it saves is the wait for another to boot. */
   public static final double IDLE_BOOTS = 0.7;
 
+  /** Boot times that array work waits for spot machines before ordinary ones are rented for it. */
+  public static final double DEARER_BOOTS = 0.4;
+
   /** Machines per rental request (protocol). */
   public static final int MAX_RENT = 50;
 
--- a/src/main/java/org/baygw/control/fleet/Fleet.java
+++ b/src/main/java/org/baygw/control/fleet/Fleet.java
@@ -262,15 +262,20 @@
 
   private void forget(String name, long stamp) {
     booking.add(name);
-    answered.remove(name);
+    List<String> hosts = answered.remove(name);
     store.settle(
-        Store.Urgency.MOVE,
+        Store.Urgency.GRANT,
         new Txn()
             .when(Keys.claim(Keys.DESK), claim)
             .when(Keys.rental(name), stamp)
             .delete(Keys.rental(name)),
         Constants.STATE_TIMEOUT_MS,
-        ok -> booking.remove(name));
+        ok -> {
+          booking.remove(name);
+          if (!ok && hosts != null) {
+            answered.put(name, hosts); // or it would be sent again, for nothing
+          }
+        });
   }
 
   /** Rents for what found no room, counting what is on its way. */
@@ -379,6 +384,12 @@
           if (spot && !s.spot() || refused.containsKey(k)) {
             continue;
           }
+          // Spot machines that all are taken come free sooner than a dearer one boots, in a short
+          // burst; one that lasts is worth it.
+          if (!spot && s.spot() && !s.service() && t.spotPrice() < t.price()
+              && u.waitedMs() < t.bootS() * 1000 * Constants.DEARER_BOOTS) {
+            continue;
+          }
           double price = (spot ? t.spotPrice() : t.price()) / t.cpus();
           int count = wanted.getOrDefault(k, 0);
           if (best == null || price < bestPrice - Constants.EPS
@@ -498,6 +509,7 @@
     Part part = Part.of(name, zone, view.partsPerZone());
     asked.computeIfAbsent(part, k -> new LinkedHashMap<>()).put(name, why);
     draining.add(name);
+    LOG.debug("{} is to go: {}", name, why);
   }
 
   /**
--- a/src/main/java/org/baygw/control/quota/Desk.java
+++ b/src/main/java/org/baygw/control/quota/Desk.java
@@ -37,8 +37,15 @@
  * against its team until its part's owner has proved it gone.
  */
 public final class Desk {
-  /** Tasks of a job that found no room now; zone is null where any will do. */
-  public record Unmet(JobSpec spec, String zone, boolean reclaims, int count) {}
+  /**
+   * Tasks of a job that found no room now; zone is null where any will do, and waitedMs how long the
+   * job has had such tasks.
+   */
+  public record Unmet(JobSpec spec, String zone, boolean reclaims, int count, long waitedMs) {
+    private Unmet left(int count) {
+      return new Unmet(spec, zone, reclaims, count, waitedMs);
+    }
+  }
 
   private static final Logger LOG = LoggerFactory.getLogger(Desk.class);
 
@@ -67,6 +74,7 @@
   /** Shapes of tasks that found no room in this pass. */
   private final Set<String> full = new HashSet<>();
 
+  private final Map<String, Long> unmetSince = new HashMap<>();
   private List<Unmet> unmet = List.of();
   private long nextPass;
   private long nextClean;
@@ -235,6 +243,13 @@
       grantedAt.keySet().removeIf(t -> !live(t) && !busy.containsKey(t.job()));
     }
     stopping.removeIf(t -> !live(t));
+    if (left.isEmpty()) {
+      unmetSince.clear();
+    } else {
+      Set<String> ids = new HashSet<>();
+      left.forEach(u -> ids.add(u.spec().id()));
+      unmetSince.keySet().retainAll(ids);
+    }
     preempt(left, use);
     unmet = left;
   }
@@ -319,7 +334,7 @@
       if (count == 0) {
         it.remove();
       } else {
-        it.set(new Unmet(u.spec(), u.zone(), u.reclaims(), count));
+        it.set(u.left(count));
       }
     }
     stops.forEach(this::stop);
@@ -598,15 +613,16 @@
 
   private void unmet(Queued q, int count, int[] zoneLive, List<Unmet> left) {
     JobSpec s = q.spec();
+    long waited = clock.now() - unmetSince.computeIfAbsent(q.id(), k -> clock.now());
     if (!s.spread() && !s.oneZone()) {
-      left.add(new Unmet(s, s.zone(), q.reclaims(), count));
+      left.add(new Unmet(s, s.zone(), q.reclaims(), count, waited));
       return;
     }
     Map<String, Integer> zones = new LinkedHashMap<>();
     for (int i = 0; i < count; i++) {
       zones.merge(zoneFor(s, zoneLive), 1, Integer::sum);
     }
-    zones.forEach((zone, n) -> left.add(new Unmet(s, zone, q.reclaims(), n)));
+    zones.forEach((zone, n) -> left.add(new Unmet(s, zone, q.reclaims(), n, waited)));
   }
 
   private static int least(int n, double free, double each) {
--- a/src/main/java/org/baygw/control/workers/Agent.java
+++ b/src/main/java/org/baygw/control/workers/Agent.java
@@ -65,6 +65,7 @@
   long answeredToken;
 
   int unheeded;
+  long lastUnheeded;
 
   Agent(String name, long claim, long now) {
     this.name = name;
@@ -88,15 +89,19 @@
 
   /**
    * Counts the signs that our answers do not reach a worker whose reports reach us: it does not show
-   * the token that they carried, or its sessions end though they were answered in time.
+   * the token that they carried, it reports again after it did not answer when asked, or its sessions
+   * end though they were answered in time. Now and then one is lost, so they count together only
+   * within a few leases, and a higher token shown ends the count.
    */
   void heed(WorkerCodec.Report r, long now, long leaseMs) {
     boolean ended = session > 0 && r.session() > session && now - lastAnswered < leaseMs;
-    if (ended || r.token() < answeredToken) {
-      unheeded++;
-    } else {
+    if (r.token() > seenToken || now - lastUnheeded > Constants.DEAF_LEASES * leaseMs) {
       unheeded = 0;
     }
+    if (ended || unanswered || r.token() < answeredToken) {
+      unheeded++;
+      lastUnheeded = now;
+    }
   }
 
   boolean deaf() {
