Share the parts at once when all come back together; give up doomed spot tasks at the notice

Excluded: first placements (0.1 to 3 s), detection of silent machines (5 to 6 s to the return). Change: for a second after joining, controllers that are still to come count when parts are taken; a part without holder names its heir to workers; workers are asked a second after a takeover. A task estimated to end after its machine is taken starts anew elsewhere at once.

--- a/src/main/java/org/baygw/control/Constants.java
+++ b/src/main/java/org/baygw/control/Constants.java
@@ -44,6 +44,9 @@
   /** ms a controller must be seen before parts are handed to it: long enough not to chase one that flaps. */
   public static final long SETTLE_MS = 1_000;
 
+  /** ms after joining for which controllers that are still to come count: they start within it. */
+  public static final long TOGETHER_MS = 1_000;
+
   /** ms between looks at who should hold what. */
   public static final long CLAIM_LOOK_MS = 100;
 
@@ -146,6 +149,9 @@
   /** Report periods of silence after which a machine that did not answer is given up and returned. */
   public static final double LOST_REPORTS = 2.3;
 
+  /** ms after a takeover before workers are asked: most come by themselves, and asking renews no lease. */
+  public static final long ASK_FIRST_MS = 1_000;
+
   /** Report periods between two questions to a worker that does not answer. */
   public static final double ASK_AGAIN_REPORTS = 0.5;
 
@@ -161,6 +167,12 @@
   /** s added to that, for tasks that save at once. */
   public static final double GRACE_S = 1;
 
+  /**
+   * Times the notice that the rest of a task must be estimated at to be given up at once: half of those
+   * at the edge would have ended in time, the other half loses all it had.
+   */
+  public static final double NOTICE_SLACK = 1.0;
+
   /** ms for a worker's answer when it is asked whether it is there. */
   public static final int SHOW_TIMEOUT_MS = 1_500;
 
--- a/src/main/java/org/baygw/control/membership/Membership.java
+++ b/src/main/java/org/baygw/control/membership/Membership.java
@@ -39,6 +39,7 @@
   /** Claims that are known to be over though the copy still has them, by their stamps. */
   private final Map<String, Long> overtaken = new HashMap<>();
 
+  private long joinedAt;
   private long hold;
   private boolean busy;
   private long nextTouch;
@@ -202,6 +203,7 @@
           busy = false;
           if (outcome == Store.Outcome.OK) {
             hold = got;
+            joinedAt = clock.now();
             nextTouch = clock.now() + Constants.HOLD_TOUCH_MS;
             LOG.info("joined with hold {}", got);
           } else {
@@ -238,7 +240,7 @@
     List<String> wanted = new ArrayList<>();
     Txn take = new Txn();
     Txn give = new Txn();
-    Map<Part, String> now = owners(view.members.keySet());
+    Map<Part, String> now = owners(expected());
     Map<Part, String> settled = owners(settled());
     for (Part p : parts()) {
       String best = now.get(p);
@@ -281,6 +283,37 @@
         });
   }
 
+  /**
+   * Who counts when parts are taken. When all controllers come back together the first must not take
+   * everything, only to be overrun by all workers and to hand most of it on: for a moment those that
+   * are still to come count as well.
+   */
+  private Set<String> expected() {
+    Set<String> out = new HashSet<>(view.members.keySet());
+    if (clock.now() - joinedAt < Constants.TOGETHER_MS) {
+      settings.peers().forEach(p -> out.add(p.label()));
+    }
+    return out;
+  }
+
+  /** The controller that is to have a part which nobody holds at the moment, or null. */
+  public String heir(Part p) {
+    return owners(view.members.keySet()).get(p);
+  }
+
+  private String zoneOf(String label) {
+    View.Entry<View.Member> e = view.members.get(label);
+    if (e != null) {
+      return e.value().zone();
+    }
+    for (Settings.Peer p : settings.peers()) {
+      if (p.label().equals(label)) {
+        return p.zone();
+      }
+    }
+    return "";
+  }
+
   private Set<String> settled() {
     Set<String> out = new HashSet<>();
     firstSeen.forEach(
@@ -301,8 +334,7 @@
       ownersOf.clear();
     }
     Set<String> key = new HashSet<>();
-    among.forEach(
-        m -> key.add(m + "|" + (view.members.containsKey(m) ? view.members.get(m).value().zone() : "")));
+    among.forEach(m -> key.add(m + "|" + zoneOf(m)));
     key.add(String.valueOf(view.partsPerZone()));
     return ownersOf.computeIfAbsent(key, k -> share(among));
   }
@@ -312,8 +344,7 @@
     Map<String, Integer> has = new HashMap<>();
     for (String zone : settings.zones()) {
       Set<String> near = new HashSet<>(among);
-      near.removeIf(
-          m -> !view.members.containsKey(m) || !view.members.get(m).value().zone().equals(zone));
+      near.removeIf(m -> !zoneOf(m).equals(zone));
       Set<String> able = near.isEmpty() ? among : near;
       int most = (view.partsPerZone() + able.size() - 1) / Math.max(1, able.size());
       has.clear();
@@ -336,11 +367,7 @@
     boolean bestNear = false;
     int bestScore = 0;
     for (String m : among) {
-      View.Entry<View.Member> e = view.members.get(m);
-      if (e == null) {
-        continue;
-      }
-      boolean near = e.value().zone().equals(zone);
+      boolean near = zoneOf(m).equals(zone);
       int score =
           Hashing.murmur3_32_fixed()
               .hashString(claim + "|" + m, StandardCharsets.UTF_8)
--- a/src/main/java/org/baygw/control/workers/Contact.java
+++ b/src/main/java/org/baygw/control/workers/Contact.java
@@ -80,7 +80,8 @@
     boolean quiet =
         now - heardAt(a) > Constants.ASK_REPORTS * settings.workers().reportS() * 1000;
     if (a.asking || a.directBusy || a.addr.isEmpty() || now < a.nextAsk
-        || !quiet && (a.trusted() || a.lastHeard > 0)) {
+        || !quiet
+            && (a.trusted() || a.lastHeard > 0 || now - a.since < Constants.ASK_FIRST_MS)) {
       return;
     }
     a.asking = true;
@@ -191,9 +192,20 @@
     if (leaving && spec.checkpoints() && s.state() != WorkerCodec.State.SAVING) {
       return spec.graceS(); // the notice: save while there is time
     }
+    if (a.noticeUntil > 0 && !spec.checkpoints() && !spec.service() && tooLate(a, t, spec)) {
+      return 0.0; // it would be lost with the machine: better begun anew elsewhere now than then
+    }
     return null;
   }
 
+  /** Whether a task cannot be expected to end before its machine is taken. */
+  private boolean tooLate(Agent a, TaskId t, JobSpec spec) {
+    Long since = a.launched.get(t);
+    double left = (a.noticeUntil - clock.now()) / 1000.0;
+    double run = since == null ? 0 : (clock.now() - since) / 1000.0;
+    return spec.estimateS() - run > left * Constants.NOTICE_SLACK;
+  }
+
   private void direct(Agent a, List<WorkerCodec.Order> orders) {
     long token = a.token();
     List<TaskId> launches = new ArrayList<>();
--- a/src/main/java/org/baygw/control/workers/Workers.java
+++ b/src/main/java/org/baygw/control/workers/Workers.java
@@ -86,6 +86,7 @@
     long claim = membership.owned(part);
     if (claim == 0) {
       String owner = membership.owner(part);
+      owner = owner == null ? membership.heir(part) : owner;
       boolean other = owner != null && !owner.equals(settings.label());
       out.answer(request, 421, Json.bytes(WorkerCodec.home(other ? owner : null)));
       return;
