Prefer parts that did not give a job back; take the hold while reading; name likely owners

Change: a part that gave a job's tasks back unplaced comes last for 20 s; the hold is taken while the keys are read; until then workers are sent to the likely owner; a fault in making up a write does not stop its part.

--- a/src/main/java/org/baygw/control/Constants.java
+++ b/src/main/java/org/baygw/control/Constants.java
@@ -20,6 +20,24 @@
   /** Share of the value limit that ended tasks may take before progress takes them over. */
   public static final double ROSTER_ENDED = 0.3;
 
+  /** Bytes of a part's record kept free for what ends: it moves from one list to another, and may grow. */
+  public static final int ROSTER_SPARE_BYTES = 200;
+
+  /** Bytes an entry of a part's record takes beside its name and text: quotes, colon, comma. */
+  public static final int ROSTER_ENTRY_BYTES = 6;
+
+  /** Bytes a task takes of it, about, with its share of its job's name. */
+  public static final int ROSTER_TASK_BYTES = 8;
+
+  /** Machines whose ends go into one write: a part has some forty, and a write is at most 64 KiB. */
+  public static final int MACHINES_PER_WRITE = 64;
+
+  /** Jobs whose ended tasks are taken over at the same time: it is never urgent. */
+  public static final int FOLDS = 4;
+
+  /** Divisions of the parts kept, by members: they change by one or two at a time. */
+  public static final int OWNERS_KEPT = 8;
+
   /** ms between two writes of a part's record while tokens are scarce: what ends meanwhile shares one. */
   public static final long ROSTER_PACE_MS = 400;
 
@@ -197,6 +215,9 @@
   /** ms a granted task may wait in a part with no fitting machine before it goes back to the queue. */
   public static final long UNGRANT_MS = 4_000;
 
+  /** ms for which a part that gave a job's tasks back unplaced gets more of them only if no other has room. */
+  public static final long AVOID_MS = 20_000;
+
   /** ms between looks at which of an owner's machines are quiet; what changes is looked at at once. */
   public static final long LOOK_MS = 300;
 
--- a/src/main/java/org/baygw/control/membership/Membership.java
+++ b/src/main/java/org/baygw/control/membership/Membership.java
@@ -39,6 +39,10 @@
   /** Claims that are known to be over though the copy still has them, by their stamps. */
   private final Map<String, Long> overtaken = new HashMap<>();
 
+  /** A hold taken but not used yet, and when. */
+  private long prepared;
+
+  private long preparedAt;
   private long joinedAt;
   private long hold;
   private boolean busy;
@@ -102,6 +106,9 @@
 
   public void tick() {
     if (!store.loaded()) {
+      if (hold == 0 && prepared == 0 && !busy && clock.now() >= nextTouch) {
+        prepare(); // while the keys are being read
+      }
       return;
     }
     long now = clock.now();
@@ -131,16 +138,12 @@
    * would look for a machine's tasks in different records.
    */
   private void layOut() {
-    int controllers = settings.peers().size() + 1;
-    int perZone =
-        (int)
-            Math.ceil(controllers * Constants.PARTS_PER_CONTROLLER / settings.zones().size());
     claiming = true;
     store.txn(
         Store.Urgency.HOLD,
         new Txn()
             .when(Keys.LAYOUT, 0)
-            .put(Keys.LAYOUT, Json.object().put("parts_per_zone", perZone)),
+            .put(Keys.LAYOUT, Json.object().put("parts_per_zone", initialPartsPerZone())),
         Constants.STATE_TIMEOUT_MS,
         outcome -> {
           claiming = false;
@@ -172,6 +175,19 @@
           });
       return;
     }
+    long got = prepared;
+    prepared = 0;
+    if (got != 0 && clock.now() - preparedAt < Constants.HOLD_TOUCH_MS) {
+      enter(got);
+    } else {
+      busy = false;
+      prepare();
+    }
+  }
+
+  /** Takes a hold that joining will use; by itself it stands for nothing. */
+  private void prepare() {
+    busy = true;
     ObjectNode ask = Json.object().put("ttlMs", Constants.HOLD_TTL_MS);
     store.request(
         Store.Urgency.HOLD,
@@ -183,12 +199,13 @@
         Constants.STATE_TIMEOUT_MS,
         (status, body) -> {
           long got = status == 200 || status == 201 ? Json.parse(body).path("hold").asLong() : 0;
+          busy = false;
           if (got == 0) {
-            busy = false;
             nextTouch = clock.now() + Constants.STATE_RETRY_MS;
-            return;
+          } else {
+            prepared = got;
+            preparedAt = clock.now();
           }
-          enter(got);
         });
   }
 
@@ -301,11 +318,33 @@
     return owners(view.members.keySet()).get(p);
   }
 
+  /**
+   * Who is likely to have a machine's part, as far as the settings tell: a hint for workers that come
+   * before this controller has read the keys. Null where that is this controller itself.
+   */
+  public String likelyOwner(String machine, String zone) {
+    Set<String> all = new HashSet<>();
+    settings.peers().forEach(p -> all.add(p.label()));
+    all.add(settings.label());
+    int perZone = view.partsPerZone() > 0 ? view.partsPerZone() : initialPartsPerZone();
+    String best = share(all, perZone).get(Part.of(machine, zone, perZone));
+    return settings.label().equals(best) ? null : best;
+  }
+
+  private int initialPartsPerZone() {
+    int controllers = settings.peers().size() + 1;
+    return (int)
+        Math.ceil(controllers * Constants.PARTS_PER_CONTROLLER / settings.zones().size());
+  }
+
   private String zoneOf(String label) {
     View.Entry<View.Member> e = view.members.get(label);
     if (e != null) {
       return e.value().zone();
     }
+    if (label.equals(settings.label())) {
+      return settings.zone();
+    }
     for (Settings.Peer p : settings.peers()) {
       if (p.label().equals(label)) {
         return p.zone();
@@ -330,25 +369,25 @@
    * zone's parts. The same answer at every controller that sees the same members.
    */
   private Map<Part, String> owners(Set<String> among) {
-    if (ownersOf.size() > 8) {
+    if (ownersOf.size() > Constants.OWNERS_KEPT) {
       ownersOf.clear();
     }
     Set<String> key = new HashSet<>();
     among.forEach(m -> key.add(m + "|" + zoneOf(m)));
     key.add(String.valueOf(view.partsPerZone()));
-    return ownersOf.computeIfAbsent(key, k -> share(among));
+    return ownersOf.computeIfAbsent(key, k -> share(among, view.partsPerZone()));
   }
 
-  private Map<Part, String> share(Set<String> among) {
+  private Map<Part, String> share(Set<String> among, int perZone) {
     Map<Part, String> out = new HashMap<>();
     Map<String, Integer> has = new HashMap<>();
     for (String zone : settings.zones()) {
       Set<String> near = new HashSet<>(among);
       near.removeIf(m -> !zoneOf(m).equals(zone));
       Set<String> able = near.isEmpty() ? among : near;
-      int most = (view.partsPerZone() + able.size() - 1) / Math.max(1, able.size());
+      int most = (perZone + able.size() - 1) / Math.max(1, able.size());
       has.clear();
-      for (int i = 0; i < view.partsPerZone(); i++) {
+      for (int i = 0; i < perZone; i++) {
         Part p = new Part(zone, i);
         Set<String> free = new HashSet<>(able);
         free.removeIf(m -> has.getOrDefault(m, 0) >= most);
--- a/src/main/java/org/baygw/control/model/Roster.java
+++ b/src/main/java/org/baygw/control/model/Roster.java
@@ -3,6 +3,7 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.TreeMap;
+import org.baygw.control.Constants;
 
 /**
  * A part's record: the tasks that may be on each of its machines, the machines that are not fit for
@@ -17,9 +18,6 @@
 
   public static final Roster EMPTY = new Roster(Map.of(), Map.of(), Map.of(), Map.of());
 
-  /** What an entry takes beside its name and its text, in bytes: quotes, colon, comma. */
-  private static final int ENTRY_BYTES = 6;
-
   /** A copy to be changed. */
   public Roster copy() {
     return new Roster(
@@ -42,7 +40,7 @@
   private static int size(Map<String, String> m) {
     int n = 0;
     for (Map.Entry<String, String> e : m.entrySet()) {
-      n += e.getKey().length() + e.getValue().length() + ENTRY_BYTES;
+      n += e.getKey().length() + e.getValue().length() + Constants.ROSTER_ENTRY_BYTES;
     }
     return n;
   }
--- a/src/main/java/org/baygw/control/quota/Desk.java
+++ b/src/main/java/org/baygw/control/quota/Desk.java
@@ -67,13 +67,16 @@
   /** When this desk granted what is live; a former desk's grants count as old. */
   private final Map<TaskId, Long> grantedAt = new HashMap<>();
 
-  private static final int MAX_FOLDS = 4;
-
   private final Rooms rooms;
 
   /** Shapes of tasks that found no room in this pass. */
   private final Set<String> full = new HashSet<>();
 
+  /** Tasks granted and on no machine yet, and the parts that gave a job's tasks back, until when. */
+  private final Map<TaskId, Part> waiting = new HashMap<>();
+
+  private final Map<String, Map<Part, Long>> avoid = new HashMap<>();
+
   private final Map<String, Long> unmetSince = new HashMap<>();
   private List<Unmet> unmet = List.of();
   private long nextPass;
@@ -220,6 +223,7 @@
       }
     }
     fold();
+    noteUngranted();
     queue.sort(
         Comparator.comparing(
                 (Queued q) -> q.spec().priority() == JobSpec.Priority.PRODUCTION ? 0 : 1)
@@ -254,6 +258,35 @@
     unmet = left;
   }
 
+  /**
+   * Notes which parts gave a job's tasks back without having placed them. Only the part's owner knows
+   * why, such as a machine that fails them all, and its room would draw them there for ever.
+   */
+  private void noteUngranted() {
+    long now = clock.now();
+    for (var it = waiting.entrySet().iterator(); it.hasNext(); ) {
+      Map.Entry<TaskId, Part> e = it.next();
+      TaskId t = e.getKey();
+      if (view.unplaced(e.getValue()).contains(t)) {
+        continue;
+      }
+      it.remove();
+      View.Entry<Job> j = view.jobs.get(t.job());
+      Progress p = view.progress(t.job(), t.index() / Constants.CHUNK_TASKS);
+      if (j != null && j.value().open() && p != null && !p.done.get(t.index())
+          && !view.places.containsKey(t)) {
+        avoid
+            .computeIfAbsent(t.job(), k -> new HashMap<>())
+            .put(e.getValue(), now + Constants.AVOID_MS);
+      }
+    }
+    for (Part part : membership.parts()) {
+      view.unplaced(part).forEach(t -> waiting.put(t, part));
+    }
+    avoid.values().forEach(m -> m.values().removeIf(until -> now >= until));
+    avoid.values().removeIf(Map::isEmpty);
+  }
+
   private void count(Progress p, int[] zoneLive) {
     for (Progress.Live l : p.live.values()) {
       int z = settings.zones().indexOf(l.part().zone());
@@ -279,7 +312,7 @@
       for (String id : jobs) {
         View.Entry<Job> j = view.jobs.get(id);
         TreeMap<Integer, View.Entry<Progress>> chunks = view.progress.get(id);
-        if (j == null || chunks == null || busy.containsKey(id) || busy.size() > MAX_FOLDS) {
+        if (j == null || chunks == null || busy.containsKey(id) || busy.size() > Constants.FOLDS) {
           continue;
         }
         Txn txn = new Txn().when(Keys.claim(Keys.DESK), membership.desk());
@@ -637,6 +670,7 @@
     Place best = null;
     double most = -1;
     int bestRank = -1;
+    Map<Part, Long> avoided = avoid.getOrDefault(s.id(), Map.of());
     for (Map.Entry<Part, List<Room>> e : rooms.entrySet()) {
       int z = settings.zones().indexOf(e.getKey().zone());
       if (z < 0 || only != null && !only.equals(e.getKey().zone())
@@ -653,7 +687,7 @@
           }
         }
       }
-      int rank = fit == null ? -1 : fit.rank(s);
+      int rank = fit == null ? -1 : avoided.containsKey(e.getKey()) ? 0 : fit.rank(s) + 1;
       if (fit != null && (rank > bestRank || rank == bestRank && free > most)) {
         best = new Place(e.getKey(), fit);
         most = free;
--- a/src/main/java/org/baygw/control/store/Store.java
+++ b/src/main/java/org/baygw/control/store/Store.java
@@ -342,7 +342,7 @@
             break;
           }
           q.poll();
-          Txn t = w.late.get();
+          Txn t = made(w);
           if (t == null) {
             w.then.done(Outbox.NOT_SENT, new byte[0]);
           } else {
@@ -367,6 +367,16 @@
     }
   }
 
+  /** A fault in making a write up must not keep its maker waiting for ever. */
+  private static Txn made(Waiting w) {
+    try {
+      return w.late.get();
+    } catch (RuntimeException e) {
+      LOG.error("a write could not be made up", e);
+      return null;
+    }
+  }
+
   private void send(String method, String path, byte[] body, long timeout, Outbox.Callback then) {
     out.call(
         addr,
--- a/src/main/java/org/baygw/control/store/View.java
+++ b/src/main/java/org/baygw/control/store/View.java
@@ -8,6 +8,7 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.TreeSet;
@@ -401,7 +402,7 @@
     for (String machine : fit) {
       String condition = next.conditions().get(machine);
       Entry<Machine> e = machines.get(machine);
-      if (e != null && !java.util.Objects.equals(condition, old.conditions().get(machine))) {
+      if (e != null && !Objects.equals(condition, old.conditions().get(machine))) {
         Machine.Condition c =
             condition == null ? Machine.Condition.OK : Machine.Condition.valueOf(condition);
         machines.put(machine, new Entry<>(e.value().with(c), e.stamp()));
--- a/src/main/java/org/baygw/control/workers/Ledger.java
+++ b/src/main/java/org/baygw/control/workers/Ledger.java
@@ -7,6 +7,7 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Set;
 import java.util.TreeMap;
 import org.baygw.control.Constants;
@@ -166,6 +167,7 @@
   }
 
   private Draft make() {
+    moving.clear();
     Draft d = new Draft();
     Roster now = view.roster(part);
     String key = Keys.roster(part);
@@ -173,7 +175,8 @@
     d.txn = new Txn().when(key, view.stamp(key)).when(Keys.claim(part.toString()), claim);
     int limit = (int) (settings.state().valueKb() * 1024);
     for (String name : List.copyOf(dirty)) {
-      if (d.next.size() < limit - 200 && d.handled.size() < 64) {
+      if (d.next.size() < limit - Constants.ROSTER_SPARE_BYTES
+          && d.handled.size() < Constants.MACHINES_PER_WRITE) {
         dirty.remove(name);
         d.handled.add(name);
         settle(d, name);
@@ -250,7 +253,7 @@
         }
       }
     }
-    if (!java.util.Objects.equals(condition, d.next.conditions().get(name))) {
+    if (!Objects.equals(condition, d.next.conditions().get(name))) {
       d.changed = true;
       if (condition == null) {
         d.next.conditions().remove(name);
--- a/src/main/java/org/baygw/control/workers/Placing.java
+++ b/src/main/java/org/baygw/control/workers/Placing.java
@@ -104,7 +104,7 @@
         if (jobs.add(t.job())) {
           bytes += t.job().length();
         }
-        bytes += TASK_BYTES;
+        bytes += Constants.ROSTER_TASK_BYTES;
         onto.computeIfAbsent(r.machine().name(), k -> new LinkedHashMap<>()).put(t, l.attempt());
       } else if (over || now - since > Constants.UNGRANT_MS) {
         back.put(t, l.attempt());
@@ -114,9 +114,6 @@
     return new Plan(onto, back);
   }
 
-  /** About what a task takes of its part's record, with its share of its job's name, in bytes. */
-  private static final int TASK_BYTES = 8;
-
   private boolean isUnplaced(TaskId t) {
     Progress.Live l = view.grant(t);
     return l != null && view.unplaced(l.part()).contains(t);
--- a/src/main/java/org/baygw/control/workers/Workers.java
+++ b/src/main/java/org/baygw/control/workers/Workers.java
@@ -83,7 +83,12 @@
       return;
     }
     if (!store.loaded() || view.partsPerZone() == 0) {
-      out.answer(request, 503, Json.bytes(Json.object().put("error", "not read in yet")));
+      String likely = membership.likelyOwner(r.machine(), r.zone());
+      if (likely != null) {
+        out.answer(request, 421, Json.bytes(WorkerCodec.home(likely)));
+      } else {
+        out.answer(request, 503, Json.bytes(Json.object().put("error", "not read in yet")));
+      }
       return;
     }
     Part part = Part.of(r.machine(), r.zone(), view.partsPerZone());
