Give a part's record as many pages as it needs; look for what to stop once a job

Change: a record's pages double in one write under the claim; each machine stands on the page that the number on the first page says. The stand-in's own checks no longer grow with all tasks. Tests: pages-in-crashes (100 machines, 1 KiB values); the stand-in refuses what is over a limit.

--- a/src/main/java/org/baygw/control/Constants.java
+++ b/src/main/java/org/baygw/control/Constants.java
@@ -4,26 +4,35 @@
 public final class Constants {
   /**
    * Parts of all zones for each controller of a new deployment: with two, the loss of a controller
-   * spreads over several others, and a part of thirty to forty machines fits into one record.
+   * spreads over several others.
    */
   public static final double PARTS_PER_CONTROLLER = 2;
 
   /** Tasks per progress key. 128 live tasks take about 3 KiB, well inside an 8 KiB value. */
   public static final int CHUNK_TASKS = 128;
 
-  /** Most tasks recorded on one machine: a part's record holds some thirty machines in 8 KiB. */
+  /** Most tasks recorded on one machine: a page has room for several such machines in 8 KiB. */
   public static final int MACHINE_TASKS = 200;
 
-  /** Share of the state service's value limit up to which a part's record takes new tasks. */
+  /** Share of the state service's value limit up to which a page of a part's record takes new tasks. */
   public static final double ROSTER_FULL = 0.85;
 
   /** Share of the value limit that ended tasks may take before progress takes them over. */
   public static final double ROSTER_ENDED = 0.3;
 
-  /** Bytes of a part's record kept free for what ends: it moves from one list to another, and may grow. */
+  /**
+   * Share of it that what a page's machines have to do takes when the record gets twice the pages: with
+   * what has ended there the page is nearly full then.
+   */
+  public static final double ROSTER_CROWDED = 0.5;
+
+  /** Share of a write's changes and bytes that pages take: the rest is for jobs, machines and moves. */
+  public static final double ROSTER_WRITE_SHARE = 0.75;
+
+  /** Bytes of a page kept free for what ends: it moves from one list to another, and may grow. */
   public static final int ROSTER_SPARE_BYTES = 200;
 
-  /** Bytes an entry of a part's record takes beside its name and text: quotes, colon, comma. */
+  /** Bytes an entry of a page takes beside its name and text: quotes, colon, comma. */
   public static final int ROSTER_ENTRY_BYTES = 6;
 
   /** Bytes a task takes of it, about, with its share of its job's name. */
--- a/src/main/java/org/baygw/control/fleet/Fleet.java
+++ b/src/main/java/org/baygw/control/fleet/Fleet.java
@@ -330,7 +330,7 @@
       int left = u.count();
       for (Room r : rooms) {
         if (left > 0 && (u.zone() == null || u.zone().equals(r.machine().zone()))) {
-          left = fill(r, u.spec(), left);
+          left = r.fill(u.spec(), left);
         }
       }
       while (left > 0) {
@@ -341,7 +341,7 @@
         wanted.merge(kind, 1, Integer::sum);
         Room r = Room.empty("", view.type(kind.type()), kind.zone(), kind.spot());
         int before = left;
-        left = fill(r, u.spec(), left);
+        left = r.fill(u.spec(), left);
         rooms.add(r);
         if (left == before) {
           break;
@@ -351,15 +351,6 @@
     wanted.forEach(this::book);
   }
 
-  /** Puts as many of the tasks there as fit, in thought; returns how many are left. */
-  private static int fill(Room r, JobSpec s, int tasks) {
-    int n = r.capacity(s, tasks);
-    for (int i = 0; i < n; i++) {
-      r.take(s);
-    }
-    return tasks - n;
-  }
-
   private double age(Cloud.Listed l, long now) {
     return l.ageS() + (now - listedAt) / 1000.0;
   }
--- a/src/main/java/org/baygw/control/model/Records.java
+++ b/src/main/java/org/baygw/control/model/Records.java
@@ -124,6 +124,9 @@
 
   public static ObjectNode roster(Roster r) {
     ObjectNode n = Json.object();
+    if (r.pages() > 1) {
+      n.put("pages", r.pages());
+    }
     texts(n.putObject("on"), r.on());
     texts(n.putObject("conditions"), r.conditions());
     texts(n.putObject("done"), r.done());
@@ -138,7 +141,7 @@
   public static Roster roster(JsonNode n) {
     object(n);
     return new Roster(
-        texts(n.path("on")), texts(n.path("conditions")), texts(n.path("done")),
+        n.path("pages").asInt(1), texts(n.path("on")), texts(n.path("conditions")), texts(n.path("done")),
         texts(n.path("back")));
   }
 
--- a/src/main/java/org/baygw/control/model/Roster.java
+++ b/src/main/java/org/baygw/control/model/Roster.java
@@ -1,26 +1,54 @@
 package org.baygw.control.model;
 
+import com.google.common.hash.HashFunction;
+import com.google.common.hash.Hashing;
+import java.nio.charset.StandardCharsets;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.TreeMap;
 import org.baygw.control.Constants;
 
 /**
- * A part's record: the tasks that may be on each of its machines, the machines that are not fit for
- * more, and the tasks that have ended there but stand in their job's progress still. Lists of tasks
- * are kept as text, so that a reader looks only into those that changed.
+ * A page of a part's record: the tasks that may be on each of its machines, the machines that are not
+ * fit for more, and the tasks that have ended there but stand in their job's progress still. Lists of
+ * tasks are kept as text, so that a reader looks only into those that changed. How many pages the
+ * record has stands on each of them, and is read from the first.
  */
 public record Roster(
+    int pages,
     Map<String, String> on,
     Map<String, String> conditions,
     Map<String, String> done,
     Map<String, String> back) {
 
-  public static final Roster EMPTY = new Roster(Map.of(), Map.of(), Map.of(), Map.of());
+  public static final Roster EMPTY = new Roster(1, Map.of(), Map.of(), Map.of(), Map.of());
+
+  private static final HashFunction PAGES = Hashing.murmur3_32_fixed(1);
+
+  /** An empty page of a record of so many, to be filled. */
+  public static Roster page(int pages) {
+    return new Roster(
+        pages,
+        new LinkedHashMap<>(),
+        new LinkedHashMap<>(),
+        new LinkedHashMap<>(),
+        new LinkedHashMap<>());
+  }
+
+  /**
+   * The page that a machine stands on. With twice the pages a machine stays where it is or goes to the
+   * page that came with its own. The hash is not the one that chose the part.
+   */
+  public static int pageOf(String machine, int pages) {
+    return pages == 1
+        ? 0
+        : Math.floorMod(PAGES.hashString(machine, StandardCharsets.UTF_8).asInt(), pages);
+  }
 
   /** A copy to be changed. */
   public Roster copy() {
     return new Roster(
+        pages,
         new LinkedHashMap<>(on),
         new LinkedHashMap<>(conditions),
         new LinkedHashMap<>(done),
@@ -29,7 +57,12 @@
 
   /** About how many bytes the record takes. */
   public int size() {
-    return size(on) + size(conditions) + endedSize();
+    return onSize() + endedSize();
+  }
+
+  /** About how many bytes of it are what machines have to do. */
+  public int onSize() {
+    return size(on) + size(conditions);
   }
 
   /** About how many bytes of it are ended tasks, which go when their jobs' progress has them. */
--- a/src/main/java/org/baygw/control/placement/Room.java
+++ b/src/main/java/org/baygw/control/placement/Room.java
@@ -103,10 +103,19 @@
 
   /** Whether the rules and the room allow a task of this job here. */
   public boolean fits(JobSpec s) {
-    return cpus + Constants.EPS >= s.cpus()
-        && gpus + Constants.EPS >= s.gpus()
-        && memoryGb + Constants.EPS >= s.memoryGb()
-        && tasks < Constants.MACHINE_TASKS
+    return fitsWith(s, 0, 0, 0) && suits(s);
+  }
+
+  /** Whether there is room for the task if so much more were free. */
+  public boolean fitsWith(JobSpec s, double moreCpus, double moreGpus, double moreMemoryGb) {
+    return cpus + moreCpus + Constants.EPS >= s.cpus()
+        && gpus + moreGpus + Constants.EPS >= s.gpus()
+        && memoryGb + moreMemoryGb + Constants.EPS >= s.memoryGb();
+  }
+
+  /** Whether the task may be here, room or not. */
+  public boolean suits(JobSpec s) {
+    return tasks < Constants.MACHINE_TASKS
         && allowed(s, machine.type(), machine.zone(), machine.spot())
         // Copies of a service do not share a machine (the design's anti-colocation).
         && !(s.service() && jobs.contains(s.id()));
@@ -174,6 +183,15 @@
     return least(n, memoryGb, s.memoryGb());
   }
 
+  /** Puts as many of the tasks here as fit, in thought; returns how many are left. */
+  public int fill(JobSpec s, int waiting) {
+    int n = capacity(s, waiting);
+    for (int i = 0; i < n; i++) {
+      take(s);
+    }
+    return waiting - n;
+  }
+
   private static int least(int n, double free, double each) {
     return each <= 0 ? n : Math.min(n, (int) ((free + Constants.EPS) / each));
   }
--- a/src/main/java/org/baygw/control/quota/Desk.java
+++ b/src/main/java/org/baygw/control/quota/Desk.java
@@ -302,35 +302,37 @@
    */
   private void fold() {
     int limit = (int) (settings.state().valueKb() * 1024 * Constants.ROSTER_ENDED);
+    Set<String> jobs = new LinkedHashSet<>();
     for (Part part : membership.parts()) {
-      Roster r = view.roster(part);
-      if (r.endedSize() <= limit) {
+      for (int i = 0; i < view.pages(part); i++) {
+        Roster r = view.roster(part, i);
+        if (r.endedSize() > limit) {
+          jobs.addAll(r.done().keySet());
+          jobs.addAll(r.back().keySet());
+        }
+      }
+    }
+    for (String id : jobs) {
+      View.Entry<Job> j = view.jobs.get(id);
+      TreeMap<Integer, View.Entry<Progress>> chunks = view.progress.get(id);
+      if (j == null || chunks == null || busy.containsKey(id) || busy.size() > Constants.FOLDS) {
         continue;
       }
-      Set<String> jobs = new LinkedHashSet<>(r.done().keySet());
-      jobs.addAll(r.back().keySet());
-      for (String id : jobs) {
-        View.Entry<Job> j = view.jobs.get(id);
-        TreeMap<Integer, View.Entry<Progress>> chunks = view.progress.get(id);
-        if (j == null || chunks == null || busy.containsKey(id) || busy.size() > Constants.FOLDS) {
-          continue;
-        }
-        Txn txn = new Txn().when(Keys.claim(Keys.DESK), membership.desk());
-        chunks.forEach(
-            (c, p) -> {
-              Progress written = view.written(id, c);
-              boolean more =
-                  written != null
-                      && (written.live.size() != p.value().live.size()
-                          || !written.done.equals(p.value().done));
-              if (more && txn.writes() < settings.state().txnOps()) {
-                String key = Keys.progress(id, c);
-                txn.when(key, view.stamp(key)).put(key, Records.progress(p.value()));
-              }
-            });
-        if (txn.writes() > 0) {
-          write(id, 0, Store.Urgency.GRANT, txn);
-        }
+      Txn txn = new Txn().when(Keys.claim(Keys.DESK), membership.desk());
+      chunks.forEach(
+          (c, p) -> {
+            Progress written = view.written(id, c);
+            boolean more =
+                written != null
+                    && (written.live.size() != p.value().live.size()
+                        || !written.done.equals(p.value().done));
+            if (more && txn.writes() < settings.state().txnOps()) {
+              String key = Keys.progress(id, c);
+              txn.when(key, view.stamp(key)).put(key, Records.progress(p.value()));
+            }
+          });
+      if (txn.writes() > 0) {
+        write(id, 0, Store.Urgency.GRANT, txn);
       }
     }
   }
@@ -356,8 +358,9 @@
         rooms = victims();
       }
       int count = u.count();
+      Map<Room, Stops> options = options(u, rooms, use);
       while (count > 0 && stopped < Constants.PREEMPT_PER_PASS) {
-        int n = makeRoom(u, rooms, use, stops);
+        int n = makeRoom(u, rooms, options, use, stops);
         if (n < 0) {
           break;
         }
@@ -373,44 +376,68 @@
     stops.forEach(this::stop);
   }
 
+  /** What would be stopped on a machine for one task, and what that costs. */
+  private record Stops(List<Victim> victims, double cost) {}
+
+  /** Where one of the tasks could come, by stopping what. */
+  private Map<Room, Stops> options(
+      Unmet u, Map<Room, List<Victim>> rooms, Map<String, Use> use) {
+    Map<Room, Stops> out = new LinkedHashMap<>();
+    rooms.forEach(
+        (r, list) -> {
+          Stops s =
+              u.zone() != null && !u.zone().equals(r.machine().zone())
+                  ? null
+                  : needed(u, r, list, use);
+          if (s != null) {
+            out.put(r, s);
+          }
+        });
+    return out;
+  }
+
   /** Chooses what to stop for one task; returns how many that are, or -1 where nothing helps. */
   private int makeRoom(
       Unmet u,
       Map<Room, List<Victim>> rooms,
+      Map<Room, Stops> options,
       Map<String, Use> use,
       Map<String, List<Victim>> stops) {
-    List<Victim> chosen = null;
-    Room at = null;
-    double least = Double.POSITIVE_INFINITY;
-    for (Map.Entry<Room, List<Victim>> e : rooms.entrySet()) {
-      Room r = e.getKey();
-      if (u.zone() != null && !u.zone().equals(r.machine().zone())) {
+    while (true) {
+      Room at = null;
+      for (Map.Entry<Room, Stops> e : options.entrySet()) {
+        if (at == null || e.getValue().cost() < options.get(at).cost()) {
+          at = e.getKey();
+        }
+      }
+      if (at == null) {
+        return -1;
+      }
+      List<Victim> all = rooms.get(at);
+      // What the other tasks' stops left of a team's borrowing may have changed it.
+      Stops s = needed(u, at, all, use);
+      if (s == null || !s.victims().equals(options.get(at).victims())) {
+        replace(options, at, s);
         continue;
       }
-      List<Victim> need = needed(u, r, e.getValue(), use);
-      if (need != null) {
-        double cost = r.machine().images().contains(u.spec().image()) ? 0 : Constants.COLD_COST_S;
-        for (Victim v : need) {
-          cost += v.cost();
-        }
-        if (cost < least) {
-          least = cost;
-          chosen = need;
-          at = r;
-        }
+      for (Victim v : s.victims()) {
+        at.free(v.spec());
+        all.remove(v);
+        use.get(v.spec().team()).add(v.spec(), -1);
+        stops.computeIfAbsent(v.task().job(), k -> new ArrayList<>()).add(v);
       }
+      at.take(u.spec());
+      replace(options, at, needed(u, at, all, use));
+      return s.victims().size();
     }
-    if (chosen == null) {
-      return -1;
-    }
-    for (Victim v : chosen) {
-      at.free(v.spec());
-      rooms.get(at).remove(v);
-      use.get(v.spec().team()).add(v.spec(), -1);
-      stops.computeIfAbsent(v.task().job(), k -> new ArrayList<>()).add(v);
+  }
+
+  private static void replace(Map<Room, Stops> options, Room at, Stops s) {
+    if (s == null) {
+      options.remove(at);
+    } else {
+      options.put(at, s);
     }
-    at.take(u.spec());
-    return chosen.size();
   }
 
   private boolean live(TaskId t) {
@@ -460,31 +487,44 @@
     return at == null ? s.estimateS() : Math.min(s.estimateS(), (clock.now() - at) / 1000.0);
   }
 
-  /** The victims that would make the task fit on the machine; null if none would. */
-  private List<Victim> needed(Unmet u, Room r, List<Victim> list, Map<String, Use> use) {
+  /** What to stop so that the task fits on the machine; null if nothing would do. */
+  private Stops needed(Unmet u, Room r, List<Victim> list, Map<String, Use> use) {
     JobSpec s = u.spec();
+    if (!r.suits(s)) {
+      return null;
+    }
+    double cpus = 0;
+    double gpus = 0;
+    double memoryGb = 0;
+    double cost = r.machine().images().contains(s.image()) ? 0 : Constants.COLD_COST_S;
     List<Victim> need = new ArrayList<>();
-    Map<String, Double> taken = new HashMap<>();
-    boolean fits = r.fits(s);
+    Map<String, Double> taken = u.reclaims() ? new HashMap<>() : Map.of();
+    boolean fits = r.fitsWith(s, cpus, gpus, memoryGb);
     for (int i = 0; i < list.size() && !fits; i++) {
       Victim v = list.get(i);
-      String team = v.spec().team();
-      double over =
-          use.get(team).cpus - taken.getOrDefault(team, 0.0) - settings.team(team).cpus();
-      boolean lower =
-          s.priority() == JobSpec.Priority.PRODUCTION
-              && v.spec().priority() != JobSpec.Priority.PRODUCTION;
-      boolean borrowed =
-          u.reclaims() && !guaranteed.contains(v.task().job()) && !team.equals(s.team()) && over >= v.spec().cpus() - Constants.EPS;
-      if (lower || borrowed && v.spec().priority() != JobSpec.Priority.PRODUCTION) {
-        need.add(v);
-        taken.merge(team, v.spec().cpus(), Double::sum);
-        r.free(v.spec());
-        fits = r.fits(s);
+      JobSpec other = v.spec();
+      if (other.priority() == JobSpec.Priority.PRODUCTION) {
+        continue;
       }
+      if (s.priority() != JobSpec.Priority.PRODUCTION) {
+        // Only a job that reclaims its guarantee comes here: it may stop what others borrow.
+        String team = other.team();
+        double over =
+            use.get(team).cpus - taken.getOrDefault(team, 0.0) - settings.team(team).cpus();
+        if (guaranteed.contains(v.task().job()) || team.equals(s.team())
+            || over < other.cpus() - Constants.EPS) {
+          continue;
+        }
+        taken.merge(team, other.cpus(), Double::sum);
+      }
+      need.add(v);
+      cpus += other.cpus();
+      gpus += other.gpus();
+      memoryGb += other.memoryGb();
+      cost += v.cost();
+      fits = r.fitsWith(s, cpus, gpus, memoryGb);
     }
-    need.forEach(v -> r.take(v.spec()));
-    return fits ? need : null;
+    return fits ? new Stops(need, cost) : null;
   }
 
   private void stop(String job, List<Victim> victims) {
@@ -536,40 +576,42 @@
   private Map<Part, List<Room>> rooms() {
     Map<Part, List<Room>> free = new TreeMap<>();
     for (Part part : membership.parts()) {
-      if (membership.owner(part) == null || view.roster(part).size() > rosterFull()) {
+      if (membership.owner(part) == null) {
         continue;
       }
+      int pages = view.pages(part);
+      Set<Integer> fullPages = new HashSet<>();
+      for (int i = 0; i < pages; i++) {
+        if (view.roster(part, i).size() > rosterFull()) {
+          fullPages.add(i);
+        }
+      }
       List<Room> list = new ArrayList<>();
       for (String name : view.machinesOf(part)) {
         Machine m = view.machines.get(name).value();
         Room r =
             m.condition() == Machine.Condition.OK && !view.drains.containsKey(name)
+                    && (fullPages.isEmpty() || !fullPages.contains(Roster.pageOf(name, pages)))
                 ? rooms.of(m)
                 : null;
         if (r != null) {
           list.add(r);
         }
       }
-      Room last = null;
-      for (TaskId t : view.unplaced(part)) {
-        View.Entry<Job> j = view.jobs.get(t.job());
-        if (j == null) {
-          continue;
-        }
-        JobSpec s = j.value().spec();
-        if (last == null || !last.fits(s)) {
-          last = null;
-          for (Room r : list) {
-            if (r.fits(s)) {
-              last = r;
-              break;
+      // Like tasks together, or every one of them would look through all machines.
+      Map<String, Integer> unplaced = new TreeMap<>();
+      view.unplaced(part).forEach(t -> unplaced.merge(t.job(), 1, Integer::sum));
+      unplaced.forEach(
+          (id, count) -> {
+            View.Entry<Job> j = view.jobs.get(id);
+            int waiting = j == null ? 0 : count;
+            for (Room r : list) {
+              if (waiting == 0) {
+                break;
+              }
+              waiting = r.fill(j.value().spec(), waiting);
             }
-          }
-        }
-        if (last != null) {
-          last.take(s);
-        }
-      }
+          });
       if (!list.isEmpty()) {
         free.put(part, list);
       }
--- a/src/main/java/org/baygw/control/store/Keys.java
+++ b/src/main/java/org/baygw/control/store/Keys.java
@@ -24,9 +24,9 @@
     return ROOT + "machine/" + name;
   }
 
-  /** The tasks on a part's machines. */
-  public static String roster(Part part) {
-    return ROOT + "run/" + part;
+  /** A page of a part's record: the tasks on its machines. */
+  public static String roster(Part part, int page) {
+    return ROOT + "run/" + part + (page == 0 ? "" : "/" + page);
   }
 
   public static String claim(String name) {
--- a/src/main/java/org/baygw/control/store/View.java
+++ b/src/main/java/org/baygw/control/store/View.java
@@ -12,6 +12,7 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.TreeSet;
+import java.util.function.Function;
 import org.baygw.control.Constants;
 import org.baygw.control.model.Job;
 import org.baygw.control.model.Machine;
@@ -53,7 +54,7 @@
     GONE
   }
 
-  /** Tasks of one job that ended in one part, as that part's record has them. */
+  /** Tasks of one job that ended in one part, as a page of that part's record has them. */
   private record Ended(BitSet done, Map<Integer, Integer> back) {}
 
   private static final Logger LOG = LoggerFactory.getLogger(View.class);
@@ -90,9 +91,11 @@
   private final Map<String, Progress> written = new HashMap<>();
 
   private final Map<Part, Set<String>> machinesOf = new HashMap<>();
-  private final Map<Part, Roster> rosters = new HashMap<>();
+  private final Map<Part, TreeMap<Integer, Roster>> rosters = new HashMap<>();
   private final Map<String, Map<TaskId, Integer>> on = new HashMap<>();
-  private final Map<String, Map<Part, Ended>> ended = new HashMap<>();
+
+  /** By job and page of a part's record. */
+  private final Map<String, Map<String, Ended>> ended = new HashMap<>();
   private final Map<Part, Map<String, Drain>> drainsOf = new HashMap<>();
 
   /** Granted tasks of a part that are on no machine. */
@@ -140,10 +143,32 @@
     return written.get(Keys.progress(job, chunk));
   }
 
-  public Roster roster(Part p) {
-    return rosters.getOrDefault(p, Roster.EMPTY);
+  /** How many pages a part's record has. */
+  public int pages(Part p) {
+    return roster(p, 0).pages();
+  }
+
+  public Roster roster(Part p, int page) {
+    return rosters.getOrDefault(p, NO_PAGES).getOrDefault(page, Roster.EMPTY);
   }
 
+  private String condition(Part p, String machine) {
+    return onPages(p, r -> r.conditions().get(machine));
+  }
+
+  /** What any page has; a machine stands on one only, but for the middle of reading all keys anew. */
+  private String onPages(Part p, Function<Roster, String> what) {
+    for (Roster r : rosters.getOrDefault(p, NO_PAGES).values()) {
+      String found = what.apply(r);
+      if (found != null) {
+        return found;
+      }
+    }
+    return null;
+  }
+
+  private static final TreeMap<Integer, Roster> NO_PAGES = new TreeMap<>();
+
   /** The names of a part's machines. */
   public Set<String> machinesOf(Part p) {
     return machinesOf.getOrDefault(p, Set.of());
@@ -256,12 +281,15 @@
       }
       case "prog" -> progressChanged(key, id, Integer.parseInt(p[3]), v, stamp);
       case "run" ->
-          rosterChanged(Part.parse(id), v == null ? Roster.EMPTY : Records.roster(v));
+          rosterChanged(
+              Part.parse(id),
+              p.length > 3 ? Integer.parseInt(p[3]) : 0,
+              v == null ? Roster.EMPTY : Records.roster(v));
       case "machine" -> {
         Machine next = v == null ? null : Records.machine(id, v, partsPerZone);
         Entry<Machine> old = machines.get(id);
         if (next != null) {
-          String condition = roster(next.part()).conditions().get(id);
+          String condition = condition(next.part(), id);
           next = next.withTasks(on(id));
           next = condition == null ? next : next.with(Machine.Condition.valueOf(condition));
           for (String image : old == null ? List.<String>of() : old.value().images()) {
@@ -382,12 +410,13 @@
     activate(id);
   }
 
-  private void rosterChanged(Part part, Roster next) {
-    Roster old = roster(part);
-    rosters.put(part, next);
+  private void rosterChanged(Part part, int page, Roster next) {
+    Roster old = roster(part, page);
+    rosters.computeIfAbsent(part, k -> new TreeMap<>()).put(page, next);
     for (String machine : old.on().keySet()) {
       if (!next.on().containsKey(machine)) {
-        tasksChanged(machine, Map.of());
+        // Where the record was given more pages the machine may stand on another one now.
+        tasksChanged(machine, Roster.tasks(onPages(part, r -> r.on().get(machine))));
       }
     }
     next.on()
@@ -400,15 +429,16 @@
     Set<String> fit = new HashSet<>(old.conditions().keySet());
     fit.addAll(next.conditions().keySet());
     for (String machine : fit) {
-      String condition = next.conditions().get(machine);
+      String condition = condition(part, machine);
       Entry<Machine> e = machines.get(machine);
-      if (e != null && !Objects.equals(condition, old.conditions().get(machine))) {
-        Machine.Condition c =
-            condition == null ? Machine.Condition.OK : Machine.Condition.valueOf(condition);
+      Machine.Condition c =
+          condition == null ? Machine.Condition.OK : Machine.Condition.valueOf(condition);
+      if (e != null && c != e.value().condition()) {
         machines.put(machine, new Entry<>(e.value().with(c), e.stamp()));
         changedMachines.add(machine);
       }
     }
+    String key = Keys.roster(part, page);
     Set<String> jobsChanged = new HashSet<>();
     changed(old.done(), next.done(), jobsChanged);
     changed(old.back(), next.back(), jobsChanged);
@@ -417,12 +447,12 @@
       Roster.indexes(next.done().get(job)).keySet().forEach(done::set);
       Map<Integer, Integer> back = Roster.indexes(next.back().get(job));
       if (done.isEmpty() && back.isEmpty()) {
-        Map<Part, Ended> m = ended.get(job);
-        if (m != null && m.remove(part) != null && m.isEmpty()) {
+        Map<String, Ended> m = ended.get(job);
+        if (m != null && m.remove(key) != null && m.isEmpty()) {
           ended.remove(job);
         }
       } else {
-        ended.computeIfAbsent(job, k -> new HashMap<>()).put(part, new Ended(done, back));
+        ended.computeIfAbsent(job, k -> new HashMap<>()).put(key, new Ended(done, back));
         done.stream().forEach(i -> taskDone(job, i));
         back.forEach((i, attempt) -> taskBack(job, i, attempt));
       }
--- a/src/main/java/org/baygw/control/workers/Ledger.java
+++ b/src/main/java/org/baygw/control/workers/Ledger.java
@@ -48,6 +48,12 @@
 
   private static final Logger LOG = LoggerFactory.getLogger(Ledger.class);
 
+  /** Changes that a move needs beside its own page: progress, and another part's page. */
+  private static final int MOVE_WRITES = 2;
+
+  /** Conditions of a placing beside pages and jobs: the list of leaving machines. */
+  private static final int OTHER_CONDITIONS = 2;
+
   final Part part;
   final long claim;
   private final Clock clock;
@@ -69,18 +75,119 @@
   private long nextTry;
   private long seenChanges = -1;
 
-  /** One write in the making. */
-  private static final class Draft {
-    Roster next;
-    Txn txn;
+  /** One write in the making: pages of the record as they are to be, and what goes with them. */
+  private final class Draft implements Placing.Space {
+    final Txn txn = new Txn().when(Keys.claim(part.toString()), claim);
+    final List<Roster> next = new ArrayList<>();
+    final List<Integer> sizes = new ArrayList<>();
+    final Set<Integer> touched = new LinkedHashSet<>();
     final Map<String, Map<TaskId, Integer>> lists = new LinkedHashMap<>();
-    final Map<String, TreeMap<Integer, Integer>> done = new HashMap<>();
-    final Map<String, TreeMap<Integer, Integer>> back = new HashMap<>();
+    final Map<Integer, Map<String, TreeMap<Integer, Integer>>> done = new HashMap<>();
+    final Map<Integer, Map<String, TreeMap<Integer, Integer>>> back = new HashMap<>();
     final Set<String> handled = new HashSet<>();
     final Set<String> placedOn = new LinkedHashSet<>();
     final List<Runnable> after = new ArrayList<>();
     Ledger target;
-    boolean changed;
+
+    Draft() {
+      for (int i = 0; i < view.pages(part); i++) {
+        Roster r = view.roster(part, i).copy();
+        prune(r);
+        next.add(r);
+        sizes.add(r.size());
+      }
+    }
+
+    int page(String machine) {
+      return Roster.pageOf(machine, next.size());
+    }
+
+    /** The page with the fewest bytes, of those that are to be written if there are any. */
+    int emptiest() {
+      int best = -1;
+      for (int i = 0; i < next.size(); i++) {
+        if ((touched.isEmpty() || touched.contains(i))
+            && (best < 0 || sizes.get(i) < sizes.get(best))) {
+          best = i;
+        }
+      }
+      return best;
+    }
+
+    int writes() {
+      return txn.writes() + touched.size();
+    }
+
+    boolean changed() {
+      return writes() > 0;
+    }
+
+    /** Whether the page goes into this write, or still can: a write has its limits too. */
+    boolean touchable(int page) {
+      if (touched.contains(page)) {
+        return true;
+      }
+      int bytes = sizes.get(page);
+      for (int t : touched) {
+        bytes += sizes.get(t);
+      }
+      return touched.size() < settings.state().txnOps() * Constants.ROSTER_WRITE_SHARE
+          && bytes < Constants.MAX_BODY * Constants.ROSTER_WRITE_SHARE
+          && writes() < settings.state().txnOps();
+    }
+
+    void touch(int page) {
+      touched.add(page);
+    }
+
+    @Override
+    public boolean open(String machine) {
+      int page = page(machine);
+      return sizes.get(page) < limit() * Constants.ROSTER_FULL && touchable(page);
+    }
+
+    @Override
+    public void take(String machine, int bytes) {
+      int page = page(machine);
+      touch(page);
+      sizes.set(page, sizes.get(page) + bytes);
+    }
+
+    Map<TaskId, Integer> list(String machine) {
+      touch(page(machine));
+      return lists.computeIfAbsent(machine, k -> new LinkedHashMap<>(view.on(machine)));
+    }
+
+    void note(
+        Map<Integer, Map<String, TreeMap<Integer, Integer>>> ended, int page, TaskId t, int value) {
+      touch(page);
+      ended
+          .computeIfAbsent(page, k -> new HashMap<>())
+          .computeIfAbsent(t.job(), k -> new TreeMap<>())
+          .put(t.index(), value);
+    }
+
+    /** Puts the pages that change into the write. */
+    Txn seal() {
+      lists.forEach(
+          (machine, tasks) -> {
+            Roster r = next.get(page(machine));
+            if (tasks.isEmpty()) {
+              r.on().remove(machine);
+            } else {
+              r.on().put(machine, Roster.tasks(tasks));
+            }
+          });
+      done.forEach((page, m) -> m.forEach((job, l) -> merge(next.get(page).done(), job, l)));
+      back.forEach((page, m) -> m.forEach((job, l) -> merge(next.get(page).back(), job, l)));
+      // The first page tells how many there are, and so where each machine stands.
+      txn.when(Keys.roster(part, 0), view.stamp(Keys.roster(part, 0)));
+      for (int page : touched) {
+        String key = Keys.roster(part, page);
+        txn.when(key, view.stamp(key)).put(key, Records.roster(next.get(page)));
+      }
+      return txn;
+    }
   }
 
   Ledger(
@@ -166,16 +273,21 @@
     }
   }
 
+  private int limit() {
+    return (int) (settings.state().valueKb() * 1024);
+  }
+
   private Draft make() {
     moving.clear();
     Draft d = new Draft();
-    Roster now = view.roster(part);
-    String key = Keys.roster(part);
-    d.next = now.copy();
-    d.txn = new Txn().when(key, view.stamp(key)).when(Keys.claim(part.toString()), claim);
-    int limit = (int) (settings.state().valueKb() * 1024);
+    if (crowded(d)) {
+      divide(d);
+      return d;
+    }
     for (String name : List.copyOf(dirty)) {
-      if (d.next.size() < limit - Constants.ROSTER_SPARE_BYTES
+      int page = d.page(name);
+      if (d.sizes.get(page) < limit() - Constants.ROSTER_SPARE_BYTES
+          && d.touchable(page)
           && d.handled.size() < Constants.MACHINES_PER_WRITE) {
         dirty.remove(name);
         d.handled.add(name);
@@ -183,26 +295,53 @@
       }
     }
     finish(d);
-    place(d, (int) (limit * Constants.ROSTER_FULL) - d.next.size());
-    if (!d.changed) {
+    place(d);
+    if (!d.changed()) {
       nextTry = clock.now() + Constants.PLACE_AGAIN_MS;
       moving.clear();
       return null;
     }
-    for (Map.Entry<String, Map<TaskId, Integer>> e : d.lists.entrySet()) {
-      if (e.getValue().isEmpty()) {
-        d.next.on().remove(e.getKey());
-      } else {
-        d.next.on().put(e.getKey(), Roster.tasks(e.getValue()));
-      }
-    }
-    d.done.forEach((job, list) -> merge(d.next.done(), job, list));
-    d.back.forEach((job, list) -> merge(d.next.back(), job, list));
-    prune(d.next);
-    d.txn.put(key, Records.roster(d.next));
+    d.seal();
     return d;
   }
 
+  /** Whether the record needs more pages, and one write can still give them to it. */
+  private boolean crowded(Draft d) {
+    int sum = 0;
+    boolean crowded = false;
+    for (int i = 0; i < d.next.size(); i++) {
+      sum += d.sizes.get(i);
+      crowded |= d.next.get(i).onSize() > limit() * Constants.ROSTER_CROWDED;
+    }
+    return crowded
+        && 2 * d.next.size() <= settings.state().txnOps()
+        && sum < Constants.MAX_BODY * Constants.ROSTER_WRITE_SHARE;
+  }
+
+  /**
+   * Doubles the record's pages, all of them in one write under the claim: whoever reads the record
+   * finds each machine where the number of pages that it reads says, before, after and whenever this
+   * controller ends. Nothing else goes with it.
+   */
+  private void divide(Draft d) {
+    int pages = 2 * d.next.size();
+    List<Roster> old = List.copyOf(d.next);
+    d.next.clear();
+    for (int i = 0; i < pages; i++) {
+      d.next.add(Roster.page(pages));
+      d.touch(i);
+    }
+    for (int i = 0; i < old.size(); i++) {
+      Roster r = old.get(i);
+      r.on().forEach((m, text) -> d.next.get(d.page(m)).on().put(m, text));
+      r.conditions().forEach((m, text) -> d.next.get(d.page(m)).conditions().put(m, text));
+      d.next.get(i).done().putAll(r.done());
+      d.next.get(i).back().putAll(r.back());
+    }
+    d.seal();
+    LOG.info("{} gets {} pages", part, pages);
+  }
+
   private static void merge(
       Map<String, String> texts, String job, TreeMap<Integer, Integer> more) {
     TreeMap<Integer, Integer> all = Roster.indexes(texts.get(job));
@@ -210,10 +349,6 @@
     texts.put(job, Roster.indexes(all));
   }
 
-  private Map<TaskId, Integer> list(Draft d, String machine) {
-    return d.lists.computeIfAbsent(machine, k -> new LinkedHashMap<>(view.on(machine)));
-  }
-
   /** Takes what is proved gone off a machine, and notes whether it is fit for more. */
   private void settle(Draft d, String name) {
     View.Entry<Machine> e = view.machines.get(name);
@@ -226,15 +361,13 @@
     Map<TaskId, Proofs.End> ends = proofs.ends(a, m);
     for (Map.Entry<TaskId, Proofs.End> end : ends.entrySet()) {
       TaskId t = end.getKey();
-      Map<TaskId, Integer> left = list(d, name);
-      int attempt = left.remove(t);
-      d.changed = true;
+      int attempt = d.list(name).remove(t);
       moving.add(t);
       if (view.grant(t) != null && view.grant(t).attempt() == attempt) {
         if (end.getValue() == Proofs.End.DONE) {
-          d.done.computeIfAbsent(t.job(), k -> new TreeMap<>()).put(t.index(), 1);
+          d.note(d.done, d.page(name), t, 1);
         } else if (gone || !move(d, a, t)) {
-          d.back.computeIfAbsent(t.job(), k -> new TreeMap<>()).put(t.index(), attempt);
+          d.note(d.back, d.page(name), t, attempt);
         }
       }
       rounds.drop(t);
@@ -245,20 +378,21 @@
     if (gone) {
       condition = null;
       if ((d.lists.containsKey(name) ? d.lists.get(name) : m.tasks()).isEmpty()) {
-        if (d.txn.writes() < Constants.DELETES_PER_WRITE) {
+        if (d.txn.writes() < Constants.DELETES_PER_WRITE
+            && d.writes() < settings.state().txnOps()) {
           d.txn.delete(Keys.machine(name));
-          d.changed = true;
         } else {
           dirty.add(name);
         }
       }
     }
-    if (!Objects.equals(condition, d.next.conditions().get(name))) {
-      d.changed = true;
+    Map<String, String> conditions = d.next.get(d.page(name)).conditions();
+    if (!Objects.equals(condition, conditions.get(name))) {
+      d.touch(d.page(name));
       if (condition == null) {
-        d.next.conditions().remove(name);
+        conditions.remove(name);
       } else {
-        d.next.conditions().put(name, condition);
+        conditions.put(name, condition);
         d.after.add(() -> LOG.info("{} is {}", name, wanted));
       }
     }
@@ -279,7 +413,9 @@
       return false;
     }
     Room r = placing.room(a, to);
-    if (r == null || !r.fits(j.value().spec()) || d.lists.containsKey(name)) {
+    if (r == null || !r.fits(j.value().spec()) || d.lists.containsKey(name)
+        || there == this && !d.touchable(d.page(name))
+        || d.writes() + MOVE_WRITES > settings.state().txnOps()) {
       return false;
     }
     int chunk = t.index() / Constants.CHUNK_TASKS;
@@ -293,14 +429,17 @@
         .when(Keys.drain(to.part()), view.stamp(Keys.drain(to.part())))
         .when(Keys.job(t.job()), j.stamp());
     if (there == this) {
-      list(d, name).put(t, attempt);
+      d.list(name).put(t, attempt);
     } else {
-      String key = Keys.roster(to.part());
-      Roster next = view.roster(to.part()).copy();
+      int page = Roster.pageOf(name, view.pages(to.part()));
+      String first = Keys.roster(to.part(), 0);
+      String key = Keys.roster(to.part(), page);
+      Roster next = view.roster(to.part(), page).copy();
       Map<TaskId, Integer> on = new LinkedHashMap<>(view.on(name));
       on.put(t, attempt);
       next.on().put(name, Roster.tasks(on));
       d.txn
+          .when(first, view.stamp(first))
           .when(key, view.stamp(key))
           .when(Keys.claim(to.part().toString()), there.claim)
           .put(key, Records.roster(next));
@@ -314,14 +453,16 @@
 
   /** A job whose last task has ended is done in the same write, and needs no progress any more. */
   private void finish(Draft d) {
-    for (String job : List.copyOf(d.done.keySet())) {
+    Map<String, Integer> ended = new LinkedHashMap<>();
+    d.done.values().forEach(m -> m.forEach((job, l) -> ended.merge(job, l.size(), Integer::sum)));
+    for (String job : ended.keySet()) {
       View.Entry<Job> j = view.jobs.get(job);
       if (j == null || !j.value().open()
-          || view.done(job) + d.done.get(job).size() < j.value().spec().tasks()) {
+          || view.done(job) + ended.get(job) < j.value().spec().tasks()) {
         continue;
       }
       int writes = 1 + j.value().chunks();
-      if (d.txn.writes() + writes + 1 > settings.state().txnOps()) {
+      if (d.writes() + writes > settings.state().txnOps()) {
         continue; // the desk finishes it
       }
       LOG.debug(
@@ -337,32 +478,31 @@
       for (int c = 0; c < j.value().chunks(); c++) {
         d.txn.delete(Keys.progress(job, c));
       }
-      d.done.remove(job);
-      d.next.done().remove(job);
-      d.next.back().remove(job);
+      d.done.values().forEach(m -> m.remove(job));
+      d.next.forEach(r -> r.done().remove(job));
+      d.next.forEach(r -> r.back().remove(job));
     }
   }
 
-  private void place(Draft d, int bytes) {
-    int conditions = settings.state().txnOps() * 4 - d.txn.conditions() - 2;
-    Placing.Plan plan = placing.plan(part, claim, moving, conditions, bytes);
+  private void place(Draft d) {
+    int conditions =
+        settings.state().txnOps() * 4 - d.txn.conditions() - d.next.size() - OTHER_CONDITIONS;
+    Placing.Plan plan = placing.plan(part, claim, moving, conditions, d);
     plan.back()
         .forEach(
             (t, attempt) -> {
-              d.back.computeIfAbsent(t.job(), k -> new TreeMap<>()).put(t.index(), attempt);
-              d.changed = true;
+              d.note(d.back, d.emptiest(), t, attempt);
               moving.add(t);
             });
     if (plan.onto().isEmpty()) {
       return;
     }
-    d.changed = true;
     // Nothing may come to a machine once its return has been decided.
     d.txn.when(Keys.drain(part), view.stamp(Keys.drain(part)));
     plan.onto()
         .forEach(
             (name, tasks) -> {
-              list(d, name).putAll(tasks);
+              d.list(name).putAll(tasks);
               moving.addAll(tasks.keySet());
               d.placedOn.add(name);
               for (TaskId t : tasks.keySet()) {
--- a/src/main/java/org/baygw/control/workers/Placing.java
+++ b/src/main/java/org/baygw/control/workers/Placing.java
@@ -30,6 +30,15 @@
     final Map<String, Long> machines = new HashMap<>();
   }
 
+  /** What a part's record can still take. */
+  interface Space {
+    /** Whether a task on the machine can go into the next write. */
+    boolean open(String machine);
+
+    /** A task that takes so many bytes goes there. */
+    void take(String machine, int bytes);
+  }
+
   /** What to do with the granted tasks of a part. */
   record Plan(Map<String, Map<TaskId, Integer>> onto, Map<TaskId, Integer> back) {}
 
@@ -60,8 +69,8 @@
     chosen.putAll(placed);
   }
 
-  /** Finds machines for a part's granted tasks; takes up to so many jobs and bytes of its record. */
-  Plan plan(Part part, long claim, Set<TaskId> leaving, int mostJobs, int mostBytes) {
+  /** Finds machines for a part's granted tasks, up to so many jobs and what its record can take. */
+  Plan plan(Part part, long claim, Set<TaskId> leaving, int mostJobs, Space space) {
     long now = clock.now();
     Map<String, Map<TaskId, Integer>> onto = new LinkedHashMap<>();
     Map<TaskId, Integer> back = new LinkedHashMap<>();
@@ -73,8 +82,8 @@
     List<TaskId> todo = new ArrayList<>(unplaced);
     todo.sort(Comparator.comparing((TaskId t) -> priority(t)).thenComparing(t -> t));
     List<Room> free = rooms(part, claim);
+    free.removeIf(r -> !space.open(r.machine().name()));
     Set<String> jobs = new HashSet<>();
-    int bytes = 0;
     Room last = null;
     String lastJob = null;
     String fullFor = null;
@@ -88,9 +97,12 @@
       boolean over = j == null || !j.value().open() || l.stop();
       JobSpec s = over ? null : j.value().spec();
       Room r = null;
-      if (!over && bytes < mostBytes && (jobs.contains(t.job()) || jobs.size() < mostJobs)
+      boolean again = false;
+      if (!over && (jobs.contains(t.job()) || jobs.size() < mostJobs)
           && !t.job().equals(fullFor)) {
-        boolean again = t.job().equals(lastJob) && !s.service() && last.fits(s);
+        again =
+            t.job().equals(lastJob) && !s.service() && last.fits(s)
+                && space.open(last.machine().name());
         r = again ? last : wanted(free, t, s);
         r = r == null ? firstFit(free, s) : r;
         if (r == null) {
@@ -101,11 +113,14 @@
         r.take(s);
         last = r;
         lastJob = t.job();
-        if (jobs.add(t.job())) {
-          bytes += t.job().length();
+        String name = r.machine().name();
+        jobs.add(t.job());
+        Map<TaskId, Integer> there = onto.computeIfAbsent(name, k -> new LinkedHashMap<>());
+        there.put(t, l.attempt());
+        space.take(name, Constants.ROSTER_TASK_BYTES + (again ? 0 : t.job().length()));
+        if (!space.open(name)) {
+          free.removeIf(x -> !space.open(x.machine().name()));
         }
-        bytes += Constants.ROSTER_TASK_BYTES;
-        onto.computeIfAbsent(r.machine().name(), k -> new LinkedHashMap<>()).put(t, l.attempt());
       } else if (over || now - since > Constants.UNGRANT_MS) {
         back.put(t, l.attempt());
         unplacedSince.remove(t); // if it is granted here again it waits anew
--- a/src/test/java/org/baygw/control/sim/Checker.java
+++ b/src/test/java/org/baygw/control/sim/Checker.java
@@ -30,7 +30,11 @@
 
   private final World world;
   private final Map<String, Submitted> jobs = new HashMap<>();
-  private final Map<String, Set<FakeWorker>> on = new TreeMap<>();
+  private final TreeMap<String, Set<FakeWorker>> on = new TreeMap<>();
+
+  /** Thousandths of a CPU that each team has in use, kept with each start and end. */
+  private final Map<String, Long> milliCpus = new HashMap<>();
+
   private final Map<String, Long> startedAt = new HashMap<>();
   private final Map<String, Long> progress = new HashMap<>();
   private final Set<String> done = new HashSet<>();
@@ -78,14 +82,17 @@
 
   int tasksOn(String id) {
     int n = 0;
-    for (Map.Entry<String, Set<FakeWorker>> e : on.entrySet()) {
-      if (e.getKey().startsWith(id + "/")) {
-        n += e.getValue().size();
-      }
+    for (Set<FakeWorker> at : onOf(id).values()) {
+      n += at.size();
     }
     return n;
   }
 
+  /** Where the job's tasks are: the character after the slash closes the range. */
+  private Map<String, Set<FakeWorker>> onOf(String id) {
+    return on.subMap(id + "/", id + "0");
+  }
+
   String toldOf(String id) {
     return told.get(id);
   }
@@ -114,21 +121,21 @@
     if (!at.isEmpty()) {
       breaks("ran_twice", task);
     }
-    at.add(w);
+    if (at.add(w)) {
+      milliCpus.merge(s.team(), Math.round(s.cpus() * 1000), Long::sum);
+    }
     Long cancelled = cancelTold.get(s.id());
     if (cancelled != null && world.now() > cancelled + World.CANCEL_MS) {
       breaks("ran_cancelled", task);
     }
     int here = 0;
     int elsewhere = 0;
-    for (Map.Entry<String, Set<FakeWorker>> e : on.entrySet()) {
-      if (e.getKey().startsWith(s.id() + "/")) {
-        for (FakeWorker o : e.getValue()) {
-          if (o.zone.equals(w.zone)) {
-            here++;
-          } else {
-            elsewhere++;
-          }
+    for (Set<FakeWorker> others : onOf(s.id()).values()) {
+      for (FakeWorker o : others) {
+        if (o.zone.equals(w.zone)) {
+          here++;
+        } else {
+          elsewhere++;
         }
       }
     }
@@ -136,13 +143,7 @@
         || s.spread() && here > (s.tasks() + 1) / 2 || s.together() && elsewhere > 0) {
       breaks("wrong_place", task);
     }
-    double used = 0;
-    for (Map.Entry<String, Set<FakeWorker>> e : on.entrySet()) {
-      Submitted o = job(e.getKey());
-      if (o.team().equals(s.team())) {
-        used += o.cpus() * e.getValue().size();
-      }
-    }
+    double used = milliCpus.get(s.team()) / 1000.0;
     for (Settings.Team t : world.teams) {
       if (t.name().equals(s.team()) && used > t.cpusMax() + 1e-6) {
         breaks("quota", s.team());
@@ -156,8 +157,9 @@
   void left(FakeWorker w, String task) {
     everLeft.add(task.substring(0, task.lastIndexOf('/')));
     Set<FakeWorker> at = on.get(task);
-    if (at != null) {
-      at.remove(w);
+    if (at != null && at.remove(w)) {
+      Submitted s = job(task);
+      milliCpus.merge(s.team(), -Math.round(s.cpus() * 1000), Long::sum);
     }
   }
 
--- a/src/test/java/org/baygw/control/sim/FakeState.java
+++ b/src/test/java/org/baygw/control/sim/FakeState.java
@@ -42,6 +42,9 @@
 
   int refusals;
 
+  /** The first write that goes over a limit of the protocol, or null. */
+  String malformed;
+
   FakeState(World world) {
     this.world = world;
   }
@@ -158,6 +161,10 @@
       String key = t.path("write").asText(t.path("delete").asText());
       writes.merge(key.split("/")[1], 1, Integer::sum);
     }
+    if (n.path("then").size() > 0 && tooLarge(n)) {
+      respond.done(400, Json.bytes(Json.object().put("error", "too large")));
+      return;
+    }
     if (limited && over(n.path("then").size())) {
       refusals++;
       respond.done(429, Json.bytes(Json.object()));
@@ -212,6 +219,36 @@
     }
   }
 
+  /** The protocol's limits of a transaction: changes, conditions, bytes, bytes of a value. */
+  private boolean tooLarge(JsonNode n) {
+    int ops = world.stateTxnOps;
+    String what = null;
+    if (n.path("then").size() > ops || n.path("when").size() > 4 * ops) {
+      what = n.path("then").size() + " changes and " + n.path("when").size() + " conditions";
+    }
+    int all = Json.bytes(n).length;
+    if (all > 64 * 1024) {
+      what = all + " bytes";
+    }
+    for (JsonNode t : n.path("then")) {
+      int size = t.has("value") ? Json.bytes(t.path("value")).length : 0;
+      if (size > world.stateValueKb * 1024) {
+        what = size + " bytes of " + t.path("write").asText();
+      }
+    }
+    malformed = malformed == null ? what : malformed;
+    return what != null;
+  }
+
+  /** Most pages that a part's record has. */
+  int mostPages() {
+    return items.entrySet().stream()
+        .filter(e -> e.getKey().startsWith("b/run/"))
+        .mapToInt(e -> e.getValue().value().path("pages").asInt(1))
+        .max()
+        .orElse(0);
+  }
+
   private void list(Map<String, String> q, Respond respond) {
     ObjectNode out = Json.object().put("ledgerRev", revision);
     ArrayNode entries = out.putArray("entries");
@@ -265,6 +302,21 @@
     respond.done(200, Json.bytes(Json.object().put("ledgerRev", revision)));
   }
 
+  /** Where the changes after a revision begin. */
+  private int firstAfter(long rev) {
+    int low = 0;
+    int high = history.size();
+    while (low < high) {
+      int mid = (low + high) / 2;
+      if (history.get(mid).stamp() > rev) {
+        high = mid;
+      } else {
+        low = mid + 1;
+      }
+    }
+    return low;
+  }
+
   private void wake() {
     watches.removeIf(w -> answer(w, true));
   }
@@ -280,8 +332,8 @@
     }
     ObjectNode out = Json.object().put("ledgerRev", revision);
     ArrayNode events = out.putArray("events");
-    for (Change c : history) {
-      if (c.stamp() > w.after() && c.key().startsWith(w.under())) {
+    for (Change c : history.subList(firstAfter(w.after()), history.size())) {
+      if (c.key().startsWith(w.under())) {
         ObjectNode o = events.addObject().put("stamp", c.stamp());
         if (c.value() == null) {
           o.put("delete", c.key());
--- a/src/test/java/org/baygw/control/sim/Scenario.java
+++ b/src/test/java/org/baygw/control/sim/Scenario.java
@@ -112,6 +112,7 @@
                     world.stateWriteRps = Double.parseDouble(v);
                     world.state.limit();
                   }
+                  case "value-kb" -> world.stateValueKb = Double.parseDouble(v);
                   case "backlog" -> world.state.backlog = Integer.parseInt(v);
                   case "history" -> world.state.keepHistory(Integer.parseInt(v));
                   default -> throw new IllegalArgumentException(k);
@@ -133,6 +134,9 @@
     for (String[] w : expectations) {
       expect(w);
     }
+    if (world.state.malformed != null) {
+      failures.add("the state service was asked for " + world.state.malformed);
+    }
     if (!expectsBroken && !world.checker.broken.isEmpty()) {
       failures.add("broken: " + world.checker.broken);
     }
@@ -359,6 +363,12 @@
                   + ", " + world.state.refusals + " requests refused");
         }
       }
+      case "pages-at-least" -> {
+        int most = world.state.mostPages();
+        if (most < Integer.parseInt(w[2])) {
+          failures.add("no part's record has more than " + most + " pages");
+        }
+      }
       case "claim-changes-at-most" -> {
         int changes = world.state.writes.getOrDefault("claim", 0);
         if (changes > Integer.parseInt(w[2])) {
--- a/src/test/java/org/baygw/control/sim/World.java
+++ b/src/test/java/org/baygw/control/sim/World.java
@@ -56,6 +56,8 @@
 
   double stateRps = 400;
   double stateWriteRps = 200;
+  double stateValueKb = 8;
+  int stateTxnOps = 16;
   private final PriorityQueue<Event> events =
       new PriorityQueue<>(
           (a, b) -> a.at() != b.at() ? Long.compare(a.at(), b.at()) : Long.compare(a.order(), b.order()));
@@ -167,7 +169,7 @@
         teams,
         List.of(new Settings.Objective("any", 60, 0)),
         new Settings.WorkerTimes(REPORT_MS / 1000.0, LEASE_MS / 1000.0, CANCEL_MS / 1000.0),
-        new Settings.StateLimits(stateRps, stateWriteRps, 8, 16),
+        new Settings.StateLimits(stateRps, stateWriteRps, stateValueKb, stateTxnOps),
         new Settings.CloudLimits(10, 3),
         1000);
   }
