Pace the desk's passes by the machines they look at, and look for stops on some

Change: 0.2 ms more between passes for each machine; for one job at most 120 machines are looked at for stops, those with its image first; tables by name are hashed.

--- a/src/main/java/org/baygw/control/Constants.java
+++ b/src/main/java/org/baygw/control/Constants.java
@@ -236,6 +236,9 @@
   /** ms between the desk's passes over the queue. */
   public static final long DESK_PASS_MS = 100;
 
+  /** ms added to that for each machine: a pass looks at each, and may not take most of a processor. */
+  public static final double DESK_PASS_MS_A_MACHINE = 0.2;
+
   /** ms between them while tokens for writes are scarce: more tasks of a job share a grant. */
   public static final long DESK_SCARCE_MS = 400;
 
@@ -332,6 +335,9 @@
   /** s of lost work that a second of saving is worth, for the one that waits for the room. */
   public static final double SAVE_COST = 4;
 
+  /** Machines looked at for one job that others are stopped for, in one pass: a pass must stay short. */
+  public static final int PREEMPT_LOOKS = 120;
+
   /** Tasks the desk may stop in one pass to make room. */
   public static final int PREEMPT_PER_PASS = 16;
 
--- a/src/main/java/org/baygw/control/admin/Admin.java
+++ b/src/main/java/org/baygw/control/admin/Admin.java
@@ -5,6 +5,7 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.nio.charset.StandardCharsets;
 import java.util.Map;
+import java.util.TreeMap;
 import java.util.function.Consumer;
 import org.baygw.control.Constants;
 import org.baygw.control.config.Settings;
@@ -191,7 +192,7 @@
   private ObjectNode machines() {
     ObjectNode n = Json.object();
     ArrayNode a = n.putArray("machines");
-    for (View.Entry<Machine> e : view.machines.values()) {
+    for (View.Entry<Machine> e : new TreeMap<>(view.machines).values()) {
       Machine m = e.value();
       ObjectNode o = a.addObject().put("name", m.name()).put("type", m.type());
       o.put("zone", m.zone()).put("spot", m.spot()).put("part", m.part().toString());
--- a/src/main/java/org/baygw/control/quota/Desk.java
+++ b/src/main/java/org/baygw/control/quota/Desk.java
@@ -81,6 +81,10 @@
   private List<Unmet> unmet = List.of();
   private long nextPass;
   private long nextClean;
+
+  /** Where the look for what to stop begins, so that each machine has its turn. */
+  private int preemptFrom;
+
   private long seenChanges = -1;
 
   /** What a team's live tasks take. */
@@ -147,7 +151,9 @@
     if (now < nextPass || view.changes() == seenChanges && now < nextPass + 1000) {
       return;
     }
-    nextPass = now + (store.scarce() ? Constants.DESK_SCARCE_MS : Constants.DESK_PASS_MS);
+    // A pass looks at all machines, so what passes cost a second must not grow with them.
+    long large = (long) (view.machines.size() * Constants.DESK_PASS_MS_A_MACHINE);
+    nextPass = now + large + (store.scarce() ? Constants.DESK_SCARCE_MS : Constants.DESK_PASS_MS);
     seenChanges = view.changes();
     pass();
   }
@@ -346,7 +352,8 @@
    * is covered that way leaves the list, so that nothing is rented for it.
    */
   private void preempt(List<Unmet> left, Map<String, Use> use) {
-    Map<Room, List<Victim>> rooms = null;
+    List<Room> rooms = null;
+    Map<Room, List<Victim>> victims = new HashMap<>();
     Map<String, List<Victim>> stops = new LinkedHashMap<>();
     int stopped = 0;
     for (var it = left.listIterator(); it.hasNext() && stopped < Constants.PREEMPT_PER_PASS; ) {
@@ -355,12 +362,12 @@
         continue;
       }
       if (rooms == null) {
-        rooms = victims();
+        rooms = stoppable();
       }
       int count = u.count();
-      Map<Room, Stops> options = options(u, rooms, use);
+      Map<Room, Stops> options = options(u, rooms, victims, use);
       while (count > 0 && stopped < Constants.PREEMPT_PER_PASS) {
-        int n = makeRoom(u, rooms, options, use, stops);
+        int n = makeRoom(u, victims, options, use, stops);
         if (n < 0) {
           break;
         }
@@ -373,33 +380,48 @@
         it.set(u.left(count));
       }
     }
+    if (!stops.isEmpty()) {
+      LOG.info("stop {} tasks of {} jobs to make room", stopped, stops.size());
+    }
     stops.forEach(this::stop);
   }
 
   /** What would be stopped on a machine for one task, and what that costs. */
   private record Stops(List<Victim> victims, double cost) {}
 
-  /** Where one of the tasks could come, by stopping what. */
+  /**
+   * Where one of the tasks could come, by stopping what: on machines that have its image, and where
+   * too few do on others. The cheapest of some is nearly as good as the cheapest of all.
+   */
   private Map<Room, Stops> options(
-      Unmet u, Map<Room, List<Victim>> rooms, Map<String, Use> use) {
+      Unmet u, List<Room> rooms, Map<Room, List<Victim>> victims, Map<String, Use> use) {
     Map<Room, Stops> out = new LinkedHashMap<>();
-    rooms.forEach(
-        (r, list) -> {
-          Stops s =
-              u.zone() != null && !u.zone().equals(r.machine().zone())
-                  ? null
-                  : needed(u, r, list, use);
-          if (s != null) {
-            out.put(r, s);
-          }
-        });
+    int looked = 0;
+    for (boolean image : new boolean[] {true, false}) {
+      for (int i = 0; i < rooms.size() && looked < Constants.PREEMPT_LOOKS; i++) {
+        Room r = rooms.get((preemptFrom + i) % rooms.size());
+        if (r.machine().images().contains(u.spec().image()) != image
+            || u.zone() != null && !u.zone().equals(r.machine().zone())
+            || !r.suits(u.spec())) {
+          continue;
+        }
+        looked++;
+        Stops s = needed(u, r, victims.computeIfAbsent(r, this::victims), use);
+        if (s != null) {
+          out.put(r, s);
+        }
+      }
+    }
+    if (rooms.size() > Constants.PREEMPT_LOOKS) {
+      preemptFrom = (preemptFrom + looked) % rooms.size();
+    }
     return out;
   }
 
   /** Chooses what to stop for one task; returns how many that are, or -1 where nothing helps. */
   private int makeRoom(
       Unmet u,
-      Map<Room, List<Victim>> rooms,
+      Map<Room, List<Victim>> victims,
       Map<Room, Stops> options,
       Map<String, Use> use,
       Map<String, List<Victim>> stops) {
@@ -413,7 +435,7 @@
       if (at == null) {
         return -1;
       }
-      List<Victim> all = rooms.get(at);
+      List<Victim> all = victims.get(at);
       // What the other tasks' stops left of a team's borrowing may have changed it.
       Stops s = needed(u, at, all, use);
       if (s == null || !s.victims().equals(options.get(at).victims())) {
@@ -444,35 +466,41 @@
     return view.grant(t) != null;
   }
 
-  /** The room that stopping tasks will leave, and what else could be stopped, cheapest first. */
-  private Map<Room, List<Victim>> victims() {
-    Map<Room, List<Victim>> out = new LinkedHashMap<>();
+  /** The machines on which something could be stopped. */
+  private List<Room> stoppable() {
+    List<Room> out = new ArrayList<>();
     for (View.Entry<Machine> e : view.machines.values()) {
       Machine m = e.value();
-      Room r = rooms.of(m);
-      if (r == null || m.condition() != Machine.Condition.OK
-          || view.drains.containsKey(m.name()) || membership.owner(m.part()) == null) {
+      Room r =
+          m.condition() == Machine.Condition.OK && !view.drains.containsKey(m.name())
+                  && membership.owner(m.part()) != null
+              ? rooms.of(m)
+              : null;
+      if (r != null) {
+        out.add(r);
+      }
+    }
+    return out;
+  }
+
+  /** What could be stopped on a machine, cheapest first; what stops already leaves its room. */
+  private List<Victim> victims(Room r) {
+    List<Victim> list = new ArrayList<>();
+    for (TaskId t : r.machine().tasks().keySet()) {
+      View.Entry<Job> j = view.jobs.get(t.job());
+      Progress.Live l = view.grant(t);
+      if (j == null || l == null) {
         continue;
       }
-      List<Victim> list = new ArrayList<>();
-      for (TaskId t : m.tasks().keySet()) {
-        View.Entry<Job> j = view.jobs.get(t.job());
-        Progress.Live l = view.grant(t);
-        if (j == null || l == null) {
-          continue;
-        }
-        if (l.stop() || stopping.contains(t) || !j.value().open()) {
-          r.free(j.value().spec());
-        } else if (!busy.containsKey(t.job())) {
-          list.add(new Victim(t, j.value().spec(), cost(t, j.value().spec())));
-        }
+      if (l.stop() || stopping.contains(t) || !j.value().open()) {
+        r.free(j.value().spec());
+      } else if (!busy.containsKey(t.job())
+          && j.value().spec().priority() != JobSpec.Priority.PRODUCTION) {
+        list.add(new Victim(t, j.value().spec(), cost(t, j.value().spec())));
       }
-      list.sort(
-          Comparator.comparing(Victim::cost)
-              .thenComparing(Victim::task));
-      out.put(r, list);
     }
-    return out;
+    list.sort(Comparator.comparingDouble(Victim::cost).thenComparing(Victim::task));
+    return list;
   }
 
   /**
@@ -491,7 +519,7 @@
   private Stops needed(Unmet u, Room r, List<Victim> list, Map<String, Use> use) {
     JobSpec s = u.spec();
     if (!r.suits(s)) {
-      return null;
+      return null; // a copy of the service has come there in thought
     }
     double cpus = 0;
     double gpus = 0;
@@ -503,9 +531,6 @@
     for (int i = 0; i < list.size() && !fits; i++) {
       Victim v = list.get(i);
       JobSpec other = v.spec();
-      if (other.priority() == JobSpec.Priority.PRODUCTION) {
-        continue;
-      }
       if (s.priority() != JobSpec.Priority.PRODUCTION) {
         // Only a job that reclaims its guarantee comes here: it may stop what others borrow.
         String team = other.team();
@@ -543,7 +568,6 @@
           String key = Keys.progress(job, c);
           txn.when(key, view.stamp(key)).put(key, Records.progress(p));
         });
-    LOG.info("stop {} tasks of {} to make room", victims.size(), job);
     List<TaskId> tasks = victims.stream().map(Victim::task).toList();
     stopping.addAll(tasks);
     write(
--- a/src/main/java/org/baygw/control/store/View.java
+++ b/src/main/java/org/baygw/control/store/View.java
@@ -72,7 +72,7 @@
   /** How far jobs are, with what has ended in the parts' records taken in. */
   public final Map<String, TreeMap<Integer, Entry<Progress>>> progress = new HashMap<>();
 
-  public final TreeMap<String, Entry<Machine>> machines = new TreeMap<>();
+  public final Map<String, Entry<Machine>> machines = new HashMap<>();
   public final Map<String, Entry<Claim>> claims = new HashMap<>();
   public final TreeMap<String, Entry<Member>> members = new TreeMap<>();
   public final TreeMap<String, Entry<Rental>> rentals = new TreeMap<>();
--- a/src/main/java/org/baygw/control/workers/Workers.java
+++ b/src/main/java/org/baygw/control/workers/Workers.java
@@ -7,7 +7,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.TreeMap;
 import org.HdrHistogram.Histogram;
 import org.baygw.control.Constants;
 import org.baygw.control.config.Settings;
@@ -41,7 +40,7 @@
   private final Store store;
   private final View view;
   private final Membership membership;
-  private final Map<String, Agent> agents = new TreeMap<>();
+  private final Map<String, Agent> agents = new HashMap<>();
   private final Map<Part, Ledger> ledgers = new HashMap<>();
 
   /** Machines the cloud has taken back: a late report must not bring one to life again. */
