Let a watch serve who waits for the copy, and have completed tasks forgotten together

Change: a watch opened while someone waits answers at once, a sync goes beside it only after 100 ms; six completed tasks are forgotten together.

--- a/src/main/java/org/baygw/control/Constants.java
+++ b/src/main/java/org/baygw/control/Constants.java
@@ -102,11 +102,17 @@
   public static final long BEHIND_MS = 7_000;
 
   /** ms at least between the openings of two watches: each counts as a request. */
-  public static final long WATCH_GAP_MS = 50;
+  public static final long WATCH_GAP_MS = 80;
 
   /** Share of the state service's requests that all controllers' watches take. */
   public static final double WATCH_SHARE = 0.3;
 
+  /**
+   * ms that who needs a current copy waits for the next watch: while much changes one is opened sooner
+   * than that, and a sync beside it would bring every change a second time.
+   */
+  public static final long SYNC_WAIT_MS = 100;
+
   /** ms at least between two syncs for users' polls; polls in between share one. */
   public static final long SYNC_GAP_MS = 40;
 
@@ -170,6 +176,12 @@
   /** Leases within which they count together: a deaf worker's session ends once a lease. */
   public static final int DEAF_LEASES = 3;
 
+  /**
+   * Completed tasks that a worker is told to forget together: each time it has forgotten something it
+   * reports once more.
+   */
+  public static final int FORGET_TOGETHER = 6;
+
   /** Report periods of silence after which a worker is asked: a period is at most 1.25 of them. */
   public static final double ASK_REPORTS = 1.4;
 
--- a/src/main/java/org/baygw/control/store/Store.java
+++ b/src/main/java/org/baygw/control/store/Store.java
@@ -78,6 +78,7 @@
   private long nextWatch;
   private boolean syncing;
   private long nextSync;
+  private long waitingSince;
   private List<Consumer<Boolean>> syncWaiters = new ArrayList<>();
   private long lastContact = Long.MIN_VALUE / 2;
 
@@ -133,7 +134,8 @@
       if (!watching && now >= nextWatch) {
         watch();
       }
-      if (!syncing && !syncWaiters.isEmpty() && now >= nextSync) {
+      if (!syncing && !syncWaiters.isEmpty() && now >= nextSync
+          && now >= waitingSince + Constants.SYNC_WAIT_MS) {
         sync();
       }
     }
@@ -314,10 +316,8 @@
 
   /** Runs the action once the view holds all that was durable when this was called, or has failed. */
   public void current(Consumer<Boolean> then) {
+    waitingSince = syncWaiters.isEmpty() ? clock.now() : waitingSince;
     syncWaiters.add(then);
-    if (loaded && !loading && !syncing && !behind() && clock.now() >= nextSync) {
-      sync();
-    }
   }
 
   /** Asks for a sync soon, with nobody waiting for it. */
@@ -440,53 +440,56 @@
   }
 
   private void answerWaiters(boolean ok) {
+    takeWaiters().forEach(w -> w.accept(ok));
+  }
+
+  private List<Consumer<Boolean>> takeWaiters() {
     List<Consumer<Boolean>> waiters = syncWaiters;
     syncWaiters = new ArrayList<>();
-    waiters.forEach(w -> w.accept(ok));
+    return waiters;
   }
 
+  /** Opens a watch; where someone waits for the copy it answers at once, so no sync is needed. */
   private void watch() {
     if (!requests.take(clock.now(), 1)) {
       return;
     }
     watching = true;
     nextWatch = clock.now() + watchGapMs;
-    send(
-        "GET",
-        "/watch?under=" + Keys.ROOT + "&after=" + view.revision() + "&waitMs="
-            + Constants.WATCH_WAIT_MS,
-        null,
-        Constants.WATCH_WAIT_MS + 2L * Constants.STATE_TIMEOUT_MS,
-        (status, answer) -> {
+    changes(
+        syncWaiters.isEmpty() ? Constants.WATCH_WAIT_MS : 0,
+        ok -> {
           watching = false;
-          if (!events(status, answer)) {
-            nextWatch = clock.now() + Constants.STATE_RETRY_MS;
-          }
+          nextWatch = ok ? nextWatch : clock.now() + Constants.STATE_RETRY_MS;
         });
   }
 
+  /** Asks for what has changed beside a watch that has nothing to tell. */
   private void sync() {
     if (!requests.take(clock.now(), 1)) {
       return;
     }
     syncing = true;
     nextSync = clock.now() + syncGapMs;
-    List<Consumer<Boolean>> waiters = syncWaiters;
-    syncWaiters = new ArrayList<>();
+    changes(
+        0,
+        ok -> {
+          syncing = false;
+          nextSync = ok ? nextSync : clock.now() + Constants.STATE_RETRY_MS;
+        });
+  }
+
+  private void changes(long waitMs, Consumer<Boolean> then) {
+    List<Consumer<Boolean>> waiters = takeWaiters();
     send(
         "GET",
-        "/watch?under=" + Keys.ROOT + "&after=" + view.revision() + "&waitMs=0",
+        "/watch?under=" + Keys.ROOT + "&after=" + view.revision() + "&waitMs=" + waitMs,
         null,
-        Constants.STATE_TIMEOUT_MS,
+        waitMs > 0 ? waitMs + 2L * Constants.STATE_TIMEOUT_MS : Constants.STATE_TIMEOUT_MS,
         (status, answer) -> {
-          syncing = false;
           boolean ok = events(status, answer);
-          if (!ok) {
-            nextSync = clock.now() + Constants.STATE_RETRY_MS;
-          }
-          for (Consumer<Boolean> w : waiters) {
-            w.accept(ok);
-          }
+          then.accept(ok);
+          waiters.forEach(w -> w.accept(ok));
         });
   }
 
--- a/src/main/java/org/baygw/control/workers/Contact.java
+++ b/src/main/java/org/baygw/control/workers/Contact.java
@@ -132,6 +132,7 @@
   /** What the worker is to do now, by what it last reported. */
   private List<WorkerCodec.Order> orders(Agent a, Machine m, Ledger l, boolean reply) {
     List<WorkerCodec.Order> orders = new ArrayList<>();
+    List<WorkerCodec.Order> completed = new ArrayList<>();
     for (Map.Entry<TaskId, WorkerCodec.Seen> t : a.seen.entrySet()) {
       WorkerCodec.Seen s = t.getValue();
       Integer recorded = m.tasks().get(t.getKey());
@@ -139,8 +140,10 @@
       if (s.state() == WorkerCodec.State.ENDED) {
         // Only what is durable is forgotten: until then the report is the only record of the end.
         if (reply && !ours && !l.moving(t.getKey())) {
-          orders.add(
-              new WorkerCodec.Order(WorkerCodec.Verb.FORGET, t.getKey(), s.attempt(), 0));
+          // What did not complete may come here again, and would be refused while this is known.
+          boolean soon = s.cause() != WorkerCodec.Cause.DONE;
+          (soon ? orders : completed)
+              .add(new WorkerCodec.Order(WorkerCodec.Verb.FORGET, t.getKey(), s.attempt(), 0));
         }
         continue;
       }
@@ -153,6 +156,9 @@
         orders.add(new WorkerCodec.Order(WorkerCodec.Verb.KILL, t.getKey(), s.attempt(), grace));
       }
     }
+    if (completed.size() >= Constants.FORGET_TOGETHER) {
+      orders.addAll(completed);
+    }
     if (!a.trusted() || a.leaseOver || a.deaf() || view.drains.containsKey(m.name())) {
       return orders;
     }
