--- a/src/main/java/org/baygw/control/Constants.java
+++ b/src/main/java/org/baygw/control/Constants.java
@@ -59,8 +59,11 @@
   /** Images remembered for a machine: about as many as its cache holds. */
   public static final int MACHINE_IMAGES = 20;
 
-  /** ms. The core's clock step: fine against second-long aims, cheap at a seventh of a core. */
-  public static final long TICK_MS = 20;
+  /**
+   * ms. The core's clock step: fine against second-long aims. Every answer is a step too, so a shorter one only
+   * wakes the process more often, at half a millisecond of processor time each.
+   */
+  public static final long TICK_MS = 50;
 
   /** ms. A hold's life: two lost renewals and a slow answer are survived, a crash is seen soon. */
   public static final long HOLD_TTL_MS = 5_000;
@@ -218,7 +221,7 @@
   /** ms without a tick that show that this controller itself fell behind, so that silence proves nothing. */
   public static final long STALL_MS = 400;
 
-  /** Share of all machines silent at once that points at the network, not at them. */
+  /** Share of a zone's machines silent at once that points at the network, not at them. */
   public static final double SILENT_SHARE_MAX = 0.4;
 
   /** Report periods a silent machine is kept in any case, to see whether others fall silent too. */
--- a/src/main/java/org/baygw/control/fleet/Fleet.java
+++ b/src/main/java/org/baygw/control/fleet/Fleet.java
@@ -91,8 +91,8 @@
   /** Machines given back that the cloud may still list. */
   private final Set<String> returned = new HashSet<>();
 
-  /** When so many were silent last that it looked like a cut. */
-  private long cutAt = Long.MIN_VALUE / 2;
+  /** When so many of a zone were silent last that it looked like a cut. */
+  private final Map<String, Long> cutAt = new HashMap<>();
 
   private boolean returning;
   private long nextReturn;
@@ -424,15 +424,26 @@
             name ->
                 !view.machines.containsKey(name)
                     || view.machines.get(name).value().condition() != Machine.Condition.SILENT);
+    Map<String, Integer> all = new HashMap<>();
+    Map<String, Integer> silent = new HashMap<>();
     for (View.Entry<Machine> e : view.machines.values()) {
-      if (e.value().condition() == Machine.Condition.SILENT) {
-        silentSince.putIfAbsent(e.value().name(), now);
+      Machine m = e.value();
+      all.merge(m.zone(), 1, Integer::sum);
+      if (m.condition() == Machine.Condition.SILENT) {
+        silentSince.putIfAbsent(m.name(), now);
+        silent.merge(m.zone(), 1, Integer::sum);
       }
     }
-    boolean cut =
-        silentSince.size() > 2
-            && silentSince.size() > view.machines.size() * Constants.SILENT_SHARE_MAX;
-    cutAt = cut ? now : cutAt;
+    // A zone is cut off as a whole: what counts is its own share, and whether its controllers are lost.
+    Set<String> cut = new HashSet<>();
+    silent.forEach(
+        (zone, n) -> {
+          if (n > 2
+              && (n > all.get(zone) * Constants.SILENT_SHARE_MAX || membership.lost(zone))) {
+            cut.add(zone);
+            cutAt.put(zone, now);
+          }
+        });
     for (View.Entry<Machine> e : List.copyOf(view.machines.values())) {
       Machine m = e.value();
       if (view.drains.containsKey(m.name()) || draining.contains(m.name())) {
@@ -440,7 +451,7 @@
       }
       // A sick machine fails what it starts, not what already runs: replicas there are not ended.
       if (m.condition() == Machine.Condition.SICK && !hasReplica(m)
-          || m.condition() == Machine.Condition.SILENT && !keep(m, now, cut)) {
+          || m.condition() == Machine.Condition.SILENT && !keep(m, now, cut.contains(m.zone()))) {
         drain(m.name(), m.zone(), View.Drain.GIVEN_UP);
         continue;
       }
@@ -473,7 +484,7 @@
     long silent = now - silentSince.get(m.name());
     if (!cut) {
       double reportMs = settings.workers().reportS() * 1000;
-      return now - cutAt < reportMs * Constants.SILENT_AFTER_CUT
+      return now - cutAt.getOrDefault(m.zone(), Long.MIN_VALUE / 2) < reportMs * Constants.SILENT_AFTER_CUT
           || silent < reportMs * Constants.SILENT_REPORTS;
     }
     long limit = Constants.SILENT_KEEP_MS;
--- a/src/main/java/org/baygw/control/membership/Membership.java
+++ b/src/main/java/org/baygw/control/membership/Membership.java
@@ -313,6 +313,19 @@
     return out;
   }
 
+  /** Whether a zone has controllers by the settings and none of them is seen, while others are. */
+  public boolean lost(String zone) {
+    boolean some = false;
+    for (Settings.Peer p : settings.peers()) {
+      boolean here = p.zone().equals(zone);
+      if (here && view.members.containsKey(p.label())) {
+        return false;
+      }
+      some |= here;
+    }
+    return some && !settings.zone().equals(zone);
+  }
+
   /** The controller that is to have a part which nobody holds at the moment, or null. */
   public String heir(Part p) {
     return owners(view.members.keySet()).get(p);
--- a/src/test/java/org/baygw/control/sim/Scenario.java
+++ b/src/test/java/org/baygw/control/sim/Scenario.java
@@ -194,6 +194,17 @@
           }
         }
       }
+      case "cut-zone-workers" -> {
+        // Cut off from the controllers of other zones; what its own controllers say still arrives.
+        for (FakeWorker worker : world.workers.values()) {
+          for (World.Node n : world.nodes.values()) {
+            if (worker.zone.equals(w[3]) && !n.zone.equals(w[3])) {
+              world.cut(worker.name, n.label, World.Cut.DROP, forMs);
+              world.cut(n.label, worker.name, World.Cut.DROP, forMs);
+            }
+          }
+        }
+      }
       case "copies" -> {
         for (String m : names(w[3])) {
           world.copies(m, seconds(word(w, "late", "0")), forMs);
