Count the room of grants under way, and keep writes within their number of changes

Those that found no room waited 4 s in their part, went back and were granted in vain again (20 grants for 6 replicas, 135 s until the last began), and nothing was rented for them. Excluded: moves planned by rounds (none at that time), machines not fit in the owner's eyes. The stand-in's hanging machines now lose their tasks with their lease.

--- a/src/main/java/org/baygw/control/quota/Desk.java
+++ b/src/main/java/org/baygw/control/quota/Desk.java
@@ -58,6 +58,12 @@
   /** Jobs with a write under way, and the grants it would make: they count until it is certain. */
   private final Map<String, Integer> busy = new HashMap<>();
 
+  /**
+   * The parts of these grants. Their room is taken as well: a pass comes with every write that ends, and
+   * would give the same room away again, to tasks that then wait there in vain.
+   */
+  private final Map<String, Map<Part, Integer>> underWay = new HashMap<>();
+
   /** Unfinished jobs that fit into their team's guarantee together with its earlier ones. */
   private final Set<String> guaranteed = new HashSet<>();
 
@@ -625,6 +631,7 @@
       // Like tasks together, or every one of them would look through all machines.
       Map<String, Integer> unplaced = new TreeMap<>();
       view.unplaced(part).forEach(t -> unplaced.merge(t.job(), 1, Integer::sum));
+      underWay.forEach((id, m) -> unplaced.merge(id, m.getOrDefault(part, 0), Integer::sum));
       unplaced.forEach(
           (id, count) -> {
             View.Entry<Job> j = view.jobs.get(id);
@@ -664,6 +671,7 @@
       return;
     }
     Map<Integer, Progress> next = new LinkedHashMap<>();
+    Map<Part, Integer> parts = new HashMap<>();
     int granted = 0;
     String shape = shape(s, onlyZone(s, zoneLive));
     boolean none = full.contains(shape);
@@ -695,6 +703,7 @@
         place.room().take(s);
         Progress p = next.computeIfAbsent(c, k -> now == null ? new Progress() : now.copy());
         p.grant(i, place.part());
+        parts.merge(place.part(), 1, Integer::sum);
         grantedAt.put(new TaskId(q.id(), i), clock.now());
         zoneLive[settings.zones().indexOf(place.part().zone())]++;
         granted++;
@@ -706,6 +715,7 @@
       use.add(s, allowed - granted); // in thought: what is rented for must also be allowed to run
     }
     if (granted > 0) {
+      underWay.put(q.id(), parts);
       grant(q, next, granted);
     }
   }
@@ -823,6 +833,7 @@
         Constants.STATE_TIMEOUT_MS,
         ok -> {
           busy.remove(job);
+          underWay.remove(job);
           then.accept(ok);
           nextPass = 0;
           seenChanges = -1;
--- a/src/main/java/org/baygw/control/workers/Ledger.java
+++ b/src/main/java/org/baygw/control/workers/Ledger.java
@@ -147,10 +147,11 @@
     }
 
     @Override
-    public void take(String machine, int bytes) {
+    public boolean take(String machine, int bytes) {
       int page = page(machine);
-      touch(page);
+      boolean fresh = touched.add(page);
       sizes.set(page, sizes.get(page) + bytes);
+      return fresh || !open(machine);
     }
 
     Map<TaskId, Integer> list(String machine) {
@@ -378,8 +379,9 @@
     if (gone) {
       condition = null;
       if ((d.lists.containsKey(name) ? d.lists.get(name) : m.tasks()).isEmpty()) {
+        // One change is left for the page that the machine's condition comes off.
         if (d.txn.writes() < Constants.DELETES_PER_WRITE
-            && d.writes() < settings.state().txnOps()) {
+            && d.writes() + 1 < settings.state().txnOps()) {
           d.txn.delete(Keys.machine(name));
         } else {
           dirty.add(name);
--- a/src/main/java/org/baygw/control/workers/Placing.java
+++ b/src/main/java/org/baygw/control/workers/Placing.java
@@ -35,8 +35,8 @@
     /** Whether a task on the machine can go into the next write. */
     boolean open(String machine);
 
-    /** A task that takes so many bytes goes there. */
-    void take(String machine, int bytes);
+    /** A task that takes so many bytes goes there; true if fewer machines may be open now. */
+    boolean take(String machine, int bytes);
   }
 
   /** What to do with the granted tasks of a part. */
@@ -117,8 +117,8 @@
         jobs.add(t.job());
         Map<TaskId, Integer> there = onto.computeIfAbsent(name, k -> new LinkedHashMap<>());
         there.put(t, l.attempt());
-        space.take(name, Constants.ROSTER_TASK_BYTES + (again ? 0 : t.job().length()));
-        if (!space.open(name)) {
+        int bytes = Constants.ROSTER_TASK_BYTES + (again ? 0 : t.job().length());
+        if (space.take(name, bytes)) {
           free.removeIf(x -> !space.open(x.machine().name()));
         }
       } else if (over || now - since > Constants.UNGRANT_MS) {
--- a/src/test/java/org/baygw/control/sim/FakeWorker.java
+++ b/src/test/java/org/baygw/control/sim/FakeWorker.java
@@ -91,7 +91,8 @@
       return;
     }
     long now = world.now();
-    if (!hung && now - answeredSent > World.LEASE_MS) {
+    // A hanging machine goes on with its tasks within its lease only: after it they are over.
+    if (now - answeredSent > World.LEASE_MS) {
       List.copyOf(runs.values()).forEach(this::leave);
       runs.clear();
       session++;
--- a/src/test/java/org/baygw/control/sim/Scenario.java
+++ b/src/test/java/org/baygw/control/sim/Scenario.java
@@ -214,6 +214,10 @@
       case "cloud-outage" -> world.cloud.outage(forMs);
       case "capacity" -> world.cloud.capacity = Integer.parseInt(w[3]);
       case "hang" -> world.workers.get(w[3]).hang(forMs);
+      case "hang-some" ->
+          List.copyOf(world.workers.values())
+              .subList(0, Integer.parseInt(w[3]))
+              .forEach(m -> m.hang(forMs));
       case "take" -> world.cloud.take(w[3]);
       case "sick" -> world.workers.get(w[3]).sick = true;
       case "notice" -> {
