Hand parts over when a controller reaches none of its workers, and do not call them silent

Change: a controller that hears no worker of its zone for 1.5 report periods makes that known in its member key, others take its parts, and it asks workers until one answers; no machine counts as silent while none is heard.

--- a/src/main/java/org/baygw/control/Constants.java
+++ b/src/main/java/org/baygw/control/Constants.java
@@ -191,6 +191,18 @@
   /** Report periods of silence after which a machine that did not answer is given up and returned. */
   public static final double LOST_REPORTS = 1.9;
 
+  /**
+   * Report periods without a word from any worker of its zone after which a controller takes itself for
+   * cut off from them: a report comes within 1.25, and a worker counts as silent only after 1.9.
+   */
+  public static final double UNHEARD_REPORTS = 1.5;
+
+  /** Report periods within which any other worker must have been heard for one to count as silent. */
+  public static final double SURE_REPORTS = 0.5;
+
+  /** Machines that it must have for that: few may really have ended together. */
+  public static final int UNHEARD_MACHINES = 5;
+
   /** ms after a takeover before workers are asked: most come by themselves, and asking renews no lease. */
   public static final long ASK_FIRST_MS = 1_000;
 
--- a/src/main/java/org/baygw/control/membership/Membership.java
+++ b/src/main/java/org/baygw/control/membership/Membership.java
@@ -49,6 +49,7 @@
   private long nextTouch;
   private long nextClaim;
   private boolean claiming;
+  private boolean telling;
   private long ended;
 
   public Membership(Clock clock, Settings settings, Store store, View view) {
@@ -211,10 +212,9 @@
 
   private void enter(long got) {
     String key = Keys.member(settings.label());
-    ObjectNode me = Json.object().put("zone", settings.zone()).put("hold", got);
     store.txn(
         Store.Urgency.HOLD,
-        new Txn().put(key, me, got),
+        new Txn().put(key, me(got, true), got),
         Constants.STATE_TIMEOUT_MS,
         outcome -> {
           busy = false;
@@ -229,6 +229,51 @@
         });
   }
 
+  private ObjectNode me(long held, boolean reaches) {
+    return Json.object()
+        .put("zone", settings.zone())
+        .put("hold", held)
+        .put("reaches", reaches);
+  }
+
+  /** Whether this controller counts as one that reaches the workers of its zone. */
+  public boolean reaches() {
+    View.Entry<View.Member> e = view.members.get(settings.label());
+    return e == null || e.value().reaches();
+  }
+
+  /** Whether another controller of this zone counts as one that does. */
+  public boolean othersReach() {
+    for (Map.Entry<String, View.Entry<View.Member>> e : view.members.entrySet()) {
+      View.Member m = e.getValue().value();
+      if (!e.getKey().equals(settings.label()) && m.zone().equals(settings.zone())
+          && m.reaches()) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  /** Makes it known that this controller does not reach its workers, so that others take them, or does. */
+  public void reaches(boolean can) {
+    String key = Keys.member(settings.label());
+    View.Entry<View.Member> e = view.members.get(settings.label());
+    if (telling || e == null || e.value().hold() != hold || e.value().reaches() == can) {
+      return;
+    }
+    telling = true;
+    store.txn(
+        Store.Urgency.HOLD,
+        new Txn().when(key, e.stamp()).put(key, me(hold, can), hold),
+        Constants.STATE_TIMEOUT_MS,
+        outcome -> {
+          telling = false;
+          if (outcome == Store.Outcome.OK) {
+            LOG.info("{} its workers", can ? "reaches" : "does not reach");
+          }
+        });
+  }
+
   private void touch() {
     busy = true;
     long touched = hold;
@@ -306,7 +351,7 @@
    * are still to come count as well.
    */
   private Set<String> expected() {
-    Set<String> out = new HashSet<>(view.members.keySet());
+    Set<String> out = able(view.members.keySet());
     if (clock.now() - joinedAt < Constants.TOGETHER_MS) {
       settings.peers().forEach(p -> out.add(p.label()));
     }
@@ -328,7 +373,7 @@
 
   /** The controller that is to have a part which nobody holds at the moment, or null. */
   public String heir(Part p) {
-    return owners(view.members.keySet()).get(p);
+    return owners(able(view.members.keySet())).get(p);
   }
 
   /**
@@ -374,7 +419,14 @@
             out.add(m);
           }
         });
-    return out;
+    return able(out);
+  }
+
+  /** Those of them that reach their workers; all of them if none does. */
+  private Set<String> able(Set<String> among) {
+    Set<String> out = new HashSet<>(among);
+    out.removeIf(m -> view.members.containsKey(m) && !view.members.get(m).value().reaches());
+    return out.isEmpty() ? new HashSet<>(among) : out;
   }
 
   /**
--- a/src/main/java/org/baygw/control/store/View.java
+++ b/src/main/java/org/baygw/control/store/View.java
@@ -38,8 +38,8 @@
   /** Who holds a claim. */
   public record Claim(String owner, long hold) {}
 
-  /** A live controller. */
-  public record Member(String zone, long hold) {}
+  /** A live controller; one that does not reach its workers leaves the parts to others. */
+  public record Member(String zone, long hold, boolean reaches) {}
 
   /** A rental that is under way; hosts is null until the cloud has answered. */
   public record Rental(String type, String zone, boolean spot, int count) {}
@@ -316,7 +316,12 @@
           set(
               members,
               id,
-              v == null ? null : new Member(v.path("zone").asText(), v.path("hold").asLong()),
+              v == null
+                  ? null
+                  : new Member(
+                      v.path("zone").asText(),
+                      v.path("hold").asLong(),
+                      v.path("reaches").asBoolean(true)),
               stamp);
       case "rent" ->
           set(
--- a/src/main/java/org/baygw/control/workers/Workers.java
+++ b/src/main/java/org/baygw/control/workers/Workers.java
@@ -50,6 +50,7 @@
   private final Proofs proofs;
   private final Placing placing;
   private final Contact contact;
+  private final Reach reach;
   private long nextPass;
   private long seenChanges = -1;
   private long nextAll;
@@ -68,6 +69,7 @@
     this.store = store;
     this.view = view;
     this.membership = membership;
+    this.reach = new Reach(clock, out, settings, view, membership);
     this.proofs = new Proofs(clock, settings, view);
     this.placing = new Placing(clock, settings, view, agents, rounds);
     this.contact =
@@ -90,6 +92,7 @@
       }
       return;
     }
+    reach.heard(r.zone());
     Part part = Part.of(r.machine(), r.zone(), view.partsPerZone());
     long claim = membership.owned(part);
     if (claim == 0) {
@@ -135,9 +138,11 @@
     long now = clock.now();
     if (lastTick > 0 && now - lastTick > Constants.STALL_MS) {
       contact.stalled();
+      reach.stalled();
       LOG.info("fell behind by {} ms", now - lastTick);
     }
     lastTick = now;
+    reach.tick();
     boolean whole = now >= nextPass;
     if (whole || view.changes() != seenChanges) {
       seenChanges = view.changes();
@@ -197,7 +202,7 @@
       return m.condition();
     } else if (a.sick) {
       return Machine.Condition.SICK;
-    } else if (contact.silent(a)) {
+    } else if (contact.silent(a) && (a.deaf() || reach.sure())) {
       return Machine.Condition.SILENT;
     } else if (a.noticeUntil > 0 || view.cordons.contains(m.name())) {
       return Machine.Condition.LEAVING;
@@ -358,6 +363,7 @@
     a.addr = r.addr();
     a.seen = r.tasks();
     a.lastHeard = clock.now();
+    reach.heard(r.zone());
     a.unanswered = false;
     if (a.trusted() && !trustedBefore) {
       a.lastAnswered = clock.now(); // until now a former owner may have answered
