--- a/src/main/java/org/baygw/control/Constants.java
+++ b/src/main/java/org/baygw/control/Constants.java
@@ -50,6 +50,9 @@
   /** ms between two writes of a part's record while tokens are scarce: what ends meanwhile shares one. */
   public static final long ROSTER_PACE_MS = 400;
 
+  /** ms added to that for each further page: a write takes as many changes as pages, and grants need some. */
+  public static final long ROSTER_PACE_MS_A_PAGE = 40;
+
   /** ms between two tries to place what found no room, while nothing else calls for a write. */
   public static final long PLACE_AGAIN_MS = 100;
 
--- a/src/main/java/org/baygw/control/workers/Ledger.java
+++ b/src/main/java/org/baygw/control/workers/Ledger.java
@@ -234,7 +234,9 @@
     if (dirty.isEmpty() && !place) {
       return;
     }
-    if (store.scarce() && now < lastWrite + Constants.ROSTER_PACE_MS) {
+    long pace =
+        Constants.ROSTER_PACE_MS + Constants.ROSTER_PACE_MS_A_PAGE * (view.pages(part) - 1);
+    if (store.scarce() && now < lastWrite + pace) {
       return; // what ends meanwhile shares the write
     }
     queued = true;
