--- /dev/null
+++ b/src/test/java/org/baygw/control/model/RosterTest.java
@@ -0,0 +1,53 @@
+package org.baygw.control.model;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.Map;
+import org.baygw.control.core.Json;
+import org.junit.jupiter.api.Test;
+
+/** Pages of a part's record: the same place for a machine whoever works it out, and evenly filled. */
+final class RosterTest {
+  private static String machine(int i) {
+    return String.format("n-%06d", i);
+  }
+
+  @Test
+  void twiceThePagesLeaveAMachineOrMoveItToTheNewHalf() {
+    for (int pages = 1; pages <= 32; pages *= 2) {
+      for (int i = 0; i < 2_000; i++) {
+        int before = Roster.pageOf(machine(i), pages);
+        int after = Roster.pageOf(machine(i), 2 * pages);
+        assertTrue(after == before || after == before + pages, machine(i) + " of " + pages);
+      }
+    }
+  }
+
+  @Test
+  void theMachinesOfOnePartSpreadOverItsPages() {
+    // Were the part's own hash taken again, the machines of a part would share few pages.
+    int[] on = new int[8];
+    int all = 0;
+    for (int i = 0; i < 8_000; i++) {
+      if (Part.of(machine(i), "a", 8).index() == 3) {
+        on[Roster.pageOf(machine(i), 8)]++;
+        all++;
+      }
+    }
+    for (int n : on) {
+      assertTrue(n > all / 16 && n < all / 4, n + " of " + all);
+    }
+  }
+
+  @Test
+  void aPageIsReadAsItWasWritten() {
+    Roster r = Roster.page(4);
+    r.on().put("n-000001", Roster.tasks(Map.of(new TaskId("run-1", 3), 2)));
+    r.conditions().put("n-000001", "SILENT");
+    r.done().put("run-1", "0-2");
+    r.back().put("run-1", "5*2");
+    assertEquals(r, Records.roster(Json.parse(Json.bytes(Records.roster(r)))));
+    assertEquals(1, Records.roster(Json.parse("{\"on\":{}}".getBytes())).pages());
+  }
+}
