--- a/src/main/java/org/baygw/control/Constants.java
+++ b/src/main/java/org/baygw/control/Constants.java
@@ -164,15 +164,6 @@
   /** ms for a worker's answer to direct orders; the rest comes by its reports. */
   public static final int ORDERS_TIMEOUT_MS = 2_500;
 
-  /**
-   * Launches of other than production work that are sent to workers directly, a second: each costs about a
-   * millisecond of processor time, and what comes beyond goes with the answer to the next report.
-   */
-  public static final double DIRECTS_PER_S = 15;
-
-  /** As many may go at once: a grant for a part of some thirty machines. */
-  public static final double DIRECTS_BURST = 30;
-
   /** Token bits below the claim's stamp: raises within one claim. */
   public static final int TOKEN_BITS = 20;
 
@@ -276,7 +267,7 @@
   public static final long DESK_PASS_MS = 100;
 
   /** ms added to that for each machine: a pass looks at each, and may not take most of a processor. */
-  public static final double DESK_PASS_MS_A_MACHINE = 0.3;
+  public static final double DESK_PASS_MS_A_MACHINE = 0.2;
 
   /** ms between them while tokens for writes are scarce: more tasks of a job share a grant. */
   public static final long DESK_SCARCE_MS = 400;
--- a/src/main/java/org/baygw/control/quota/Desk.java
+++ b/src/main/java/org/baygw/control/quota/Desk.java
@@ -42,7 +42,7 @@
    * job has had such tasks.
    */
   public record Unmet(JobSpec spec, String zone, boolean reclaims, int count, long waitedMs) {
-    Unmet left(int count) {
+    private Unmet left(int count) {
       return new Unmet(spec, zone, reclaims, count, waitedMs);
     }
   }
@@ -67,11 +67,13 @@
   /** Unfinished jobs that fit into their team's guarantee together with its earlier ones. */
   private final Set<String> guaranteed = new HashSet<>();
 
+  /** Tasks whose stop is being written: their room counts as coming free, or more would be stopped. */
+  private final Set<TaskId> stopping = new HashSet<>();
+
   /** When this desk granted what is live; a former desk's grants count as old. */
   private final Map<TaskId, Long> grantedAt = new HashMap<>();
 
   private final Rooms rooms;
-  private final Preemption preemption;
 
   /** Shapes of tasks that found no room in this pass. */
   private final Set<String> full = new HashSet<>();
@@ -86,10 +88,13 @@
   private long nextPass;
   private long nextClean;
 
+  /** Where the look for what to stop begins, so that each machine has its turn. */
+  private int preemptFrom;
+
   private long seenChanges = -1;
 
   /** What a team's live tasks take. */
-  static final class Use {
+  private static final class Use {
     double cpus;
     double gpus;
 
@@ -132,9 +137,6 @@
     this.view = view;
     this.membership = membership;
     this.rooms = new Rooms(view);
-    this.preemption =
-        new Preemption(
-            clock, settings, view, membership, rooms, busy.keySet(), guaranteed, grantedAt);
   }
 
   /** Tasks that need machines which are not there. */
@@ -256,6 +258,7 @@
       nextClean = clock.now() + Constants.DESK_CLEAN_MS;
       grantedAt.keySet().removeIf(t -> !live(t) && !busy.containsKey(t.job()));
     }
+    stopping.removeIf(t -> !live(t));
     if (left.isEmpty()) {
       unmetSince.clear();
     } else {
@@ -263,7 +266,7 @@
       left.forEach(u -> ids.add(u.spec().id()));
       unmetSince.keySet().retainAll(ids);
     }
-    preemption.makeRoom(left, use).forEach(this::stop);
+    preempt(left, use);
     unmet = left;
   }
 
@@ -346,19 +349,224 @@
     }
   }
 
+  /** A task that could be stopped to make room. */
+  private record Victim(TaskId task, JobSpec spec, double cost) {}
+
+  /**
+   * Makes room for production jobs and for jobs within their team's guarantee, as the protocol
+   * allows: by stopping work of lower priority, or for a guarantee what another team borrows. What
+   * is covered that way leaves the list, so that nothing is rented for it.
+   */
+  private void preempt(List<Unmet> left, Map<String, Use> use) {
+    List<Room> rooms = null;
+    Map<Room, List<Victim>> victims = new HashMap<>();
+    Map<String, List<Victim>> stops = new LinkedHashMap<>();
+    int stopped = 0;
+    for (var it = left.listIterator(); it.hasNext() && stopped < Constants.PREEMPT_PER_PASS; ) {
+      Unmet u = it.next();
+      if (u.spec().priority() != JobSpec.Priority.PRODUCTION && !u.reclaims()) {
+        continue;
+      }
+      if (rooms == null) {
+        rooms = stoppable();
+      }
+      int count = u.count();
+      Map<Room, Stops> options = options(u, rooms, victims, use);
+      while (count > 0 && stopped < Constants.PREEMPT_PER_PASS) {
+        int n = makeRoom(u, victims, options, use, stops);
+        if (n < 0) {
+          break;
+        }
+        stopped += n;
+        count--;
+      }
+      if (count == 0) {
+        it.remove();
+      } else {
+        it.set(u.left(count));
+      }
+    }
+    if (!stops.isEmpty()) {
+      LOG.info("stop {} tasks of {} jobs to make room", stopped, stops.size());
+    }
+    stops.forEach(this::stop);
+  }
+
+  /** What would be stopped on a machine for one task, and what that costs. */
+  private record Stops(List<Victim> victims, double cost) {}
+
+  /**
+   * Where one of the tasks could come, by stopping what: on machines that have its image, and where
+   * too few do on others. The cheapest of some is nearly as good as the cheapest of all.
+   */
+  private Map<Room, Stops> options(
+      Unmet u, List<Room> rooms, Map<Room, List<Victim>> victims, Map<String, Use> use) {
+    Map<Room, Stops> out = new LinkedHashMap<>();
+    int looked = 0;
+    for (boolean image : new boolean[] {true, false}) {
+      for (int i = 0; i < rooms.size() && looked < Constants.PREEMPT_LOOKS; i++) {
+        Room r = rooms.get((preemptFrom + i) % rooms.size());
+        if (r.machine().images().contains(u.spec().image()) != image
+            || u.zone() != null && !u.zone().equals(r.machine().zone())
+            || !r.suits(u.spec())) {
+          continue;
+        }
+        looked++;
+        Stops s = needed(u, r, victims.computeIfAbsent(r, this::victims), use);
+        if (s != null) {
+          out.put(r, s);
+        }
+      }
+    }
+    if (rooms.size() > Constants.PREEMPT_LOOKS) {
+      preemptFrom = (preemptFrom + looked) % rooms.size();
+    }
+    return out;
+  }
+
+  /** Chooses what to stop for one task; returns how many that are, or -1 where nothing helps. */
+  private int makeRoom(
+      Unmet u,
+      Map<Room, List<Victim>> victims,
+      Map<Room, Stops> options,
+      Map<String, Use> use,
+      Map<String, List<Victim>> stops) {
+    while (true) {
+      Room at = null;
+      for (Map.Entry<Room, Stops> e : options.entrySet()) {
+        if (at == null || e.getValue().cost() < options.get(at).cost()) {
+          at = e.getKey();
+        }
+      }
+      if (at == null) {
+        return -1;
+      }
+      List<Victim> all = victims.get(at);
+      // What the other tasks' stops left of a team's borrowing may have changed it.
+      Stops s = needed(u, at, all, use);
+      if (s == null || !s.victims().equals(options.get(at).victims())) {
+        replace(options, at, s);
+        continue;
+      }
+      for (Victim v : s.victims()) {
+        at.free(v.spec());
+        all.remove(v);
+        use.get(v.spec().team()).add(v.spec(), -1);
+        stops.computeIfAbsent(v.task().job(), k -> new ArrayList<>()).add(v);
+      }
+      at.take(u.spec());
+      replace(options, at, needed(u, at, all, use));
+      return s.victims().size();
+    }
+  }
+
+  private static void replace(Map<Room, Stops> options, Room at, Stops s) {
+    if (s == null) {
+      options.remove(at);
+    } else {
+      options.put(at, s);
+    }
+  }
+
   private boolean live(TaskId t) {
     return view.grant(t) != null;
   }
 
-  private void stop(String job, List<TaskId> tasks) {
+  /** The machines on which something could be stopped. */
+  private List<Room> stoppable() {
+    List<Room> out = new ArrayList<>();
+    for (View.Entry<Machine> e : view.machines.values()) {
+      Machine m = e.value();
+      Room r =
+          m.condition() == Machine.Condition.OK && !view.drains.containsKey(m.name())
+                  && membership.owner(m.part()) != null
+              ? rooms.of(m)
+              : null;
+      if (r != null) {
+        out.add(r);
+      }
+    }
+    return out;
+  }
+
+  /** What could be stopped on a machine, cheapest first; what stops already leaves its room. */
+  private List<Victim> victims(Room r) {
+    List<Victim> list = new ArrayList<>();
+    for (TaskId t : r.machine().tasks().keySet()) {
+      View.Entry<Job> j = view.jobs.get(t.job());
+      Progress.Live l = view.grant(t);
+      if (j == null || l == null) {
+        continue;
+      }
+      if (l.stop() || stopping.contains(t) || !j.value().open()) {
+        r.free(j.value().spec());
+      } else if (!busy.containsKey(t.job())
+          && j.value().spec().priority() != JobSpec.Priority.PRODUCTION) {
+        list.add(new Victim(t, j.value().spec(), cost(t, j.value().spec())));
+      }
+    }
+    list.sort(Comparator.comparingDouble(Victim::cost).thenComparing(Victim::task));
+    return list;
+  }
+
+  /**
+   * What stopping a task costs, in seconds: the work it loses, or the time it takes to save, in which
+   * the one that needs the room waits.
+   */
+  private double cost(TaskId t, JobSpec s) {
+    if (s.checkpoints()) {
+      return Constants.SAVE_COST * s.saveS();
+    }
+    Long at = grantedAt.get(t);
+    return at == null ? s.estimateS() : Math.min(s.estimateS(), (clock.now() - at) / 1000.0);
+  }
+
+  /** What to stop so that the task fits on the machine; null if nothing would do. */
+  private Stops needed(Unmet u, Room r, List<Victim> list, Map<String, Use> use) {
+    JobSpec s = u.spec();
+    if (!r.suits(s)) {
+      return null; // a copy of the service has come there in thought
+    }
+    double cpus = 0;
+    double gpus = 0;
+    double memoryGb = 0;
+    double cost = r.machine().images().contains(s.image()) ? 0 : Constants.COLD_COST_S;
+    List<Victim> need = new ArrayList<>();
+    Map<String, Double> taken = u.reclaims() ? new HashMap<>() : Map.of();
+    boolean fits = r.fitsWith(s, cpus, gpus, memoryGb);
+    for (int i = 0; i < list.size() && !fits; i++) {
+      Victim v = list.get(i);
+      JobSpec other = v.spec();
+      if (s.priority() != JobSpec.Priority.PRODUCTION) {
+        // Only a job that reclaims its guarantee comes here: it may stop what others borrow.
+        String team = other.team();
+        double over =
+            use.get(team).cpus - taken.getOrDefault(team, 0.0) - settings.team(team).cpus();
+        if (guaranteed.contains(v.task().job()) || team.equals(s.team())
+            || over < other.cpus() - Constants.EPS) {
+          continue;
+        }
+        taken.merge(team, other.cpus(), Double::sum);
+      }
+      need.add(v);
+      cpus += other.cpus();
+      gpus += other.gpus();
+      memoryGb += other.memoryGb();
+      cost += v.cost();
+      fits = r.fitsWith(s, cpus, gpus, memoryGb);
+    }
+    return fits ? new Stops(need, cost) : null;
+  }
+
+  private void stop(String job, List<Victim> victims) {
     Txn txn = new Txn().when(Keys.claim(Keys.DESK), membership.desk());
     Map<Integer, Progress> next = new LinkedHashMap<>();
-    for (TaskId t : tasks) {
-      int chunk = t.index() / Constants.CHUNK_TASKS;
+    for (Victim v : victims) {
+      int chunk = v.task().index() / Constants.CHUNK_TASKS;
       if (next.containsKey(chunk) || next.size() < settings.state().txnOps()) {
         Progress p = next.computeIfAbsent(chunk, c -> view.progress(job, c).copy());
-        Progress.Live l = p.live.get(t.index());
-        p.live.put(t.index(), new Progress.Live(l.attempt(), l.part(), true));
+        Progress.Live l = p.live.get(v.task().index());
+        p.live.put(v.task().index(), new Progress.Live(l.attempt(), l.part(), true));
       }
     }
     next.forEach(
@@ -366,6 +574,8 @@
           String key = Keys.progress(job, c);
           txn.when(key, view.stamp(key)).put(key, Records.progress(p));
         });
+    List<TaskId> tasks = victims.stream().map(Victim::task).toList();
+    stopping.addAll(tasks);
     write(
         job,
         0,
@@ -373,7 +583,7 @@
         txn,
         ok -> {
           if (!ok) {
-            preemption.notStopped(tasks);
+            stopping.removeAll(tasks);
           }
         });
   }
--- a/src/main/java/org/baygw/control/store/View.java
+++ b/src/main/java/org/baygw/control/store/View.java
@@ -8,6 +8,7 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.TreeSet;
--- a/src/main/java/org/baygw/control/workers/Contact.java
+++ b/src/main/java/org/baygw/control/workers/Contact.java
@@ -9,7 +9,6 @@
 import org.baygw.control.core.Clock;
 import org.baygw.control.core.Json;
 import org.baygw.control.core.Outbox;
-import org.baygw.control.core.TokenBucket;
 import org.baygw.control.model.Job;
 import org.baygw.control.model.JobSpec;
 import org.baygw.control.model.Machine;
@@ -31,8 +30,6 @@
   private final Placing placing;
   private final Rounds rounds;
   private final Heard heard;
-  private final TokenBucket directs =
-      new TokenBucket(Constants.DIRECTS_PER_S, Constants.DIRECTS_BURST);
   private long stalledAt;
   private final Histogram launchMs =
       new Histogram(Constants.HISTOGRAM_MAX_MS, Constants.HISTOGRAM_DIGITS);
@@ -127,23 +124,11 @@
       return;
     }
     List<WorkerCodec.Order> orders = orders(a, m, l, false);
-    if (!orders.isEmpty() && (pressing(orders) || directs.take(clock.now(), 1))) {
+    if (!orders.isEmpty()) {
       direct(a, orders);
     }
   }
 
-  /** Whether they include more than the launch of work that can wait for the worker's next report. */
-  private boolean pressing(List<WorkerCodec.Order> orders) {
-    for (WorkerCodec.Order o : orders) {
-      View.Entry<Job> j = view.jobs.get(o.task().job());
-      if (o.verb() != WorkerCodec.Verb.LAUNCH
-          || j != null && j.value().spec().priority() == JobSpec.Priority.PRODUCTION) {
-        return true;
-      }
-    }
-    return false;
-  }
-
   /** What the worker is to do now, by what it last reported. */
   private List<WorkerCodec.Order> orders(Agent a, Machine m, Ledger l, boolean reply) {
     List<WorkerCodec.Order> orders = new ArrayList<>();
--- a/src/test/java/org/baygw/control/sim/Scenario.java
+++ b/src/test/java/org/baygw/control/sim/Scenario.java
@@ -216,7 +216,7 @@
       case "hang" -> world.workers.get(w[3]).hang(forMs);
       case "hang-some" ->
           List.copyOf(world.workers.values())
-              .subList(0, Math.min(Integer.parseInt(w[3]), world.workers.size()))
+              .subList(0, Integer.parseInt(w[3]))
               .forEach(m -> m.hang(forMs));
       case "take" -> world.cloud.take(w[3]);
       case "sick" -> world.workers.get(w[3]).sick = true;
