Answer workers only while all cancellations are known, and tell siblings of them at once

Cause: an owner refused by the state service went on renewing leases from a copy without the cancellations that others confirmed meanwhile. Now a 200 needs knowledge at most cancel_s - lease_s - margin old, by the state service or by the vouchers of all siblings; cancellations go to the siblings at once and are acted on.

--- a/src/main/java/org/baygw/control/Constants.java
+++ b/src/main/java/org/baygw/control/Constants.java
@@ -92,6 +92,27 @@
   /** ms by which another controller was answered later by the state service: this one is refused alone. */
   public static final long ALONE_MS = 5_000;
 
+  /** ms between two statuses at least: cancellations that come together go together. */
+  public static final long PEER_URGENT_MS = 200;
+
+  /** Cancellations in one status: they fit into a body. A copy that lacks more needs the state service. */
+  public static final int CANCELLATIONS_TOLD = 1_000;
+
+  /**
+   * ms taken off the time that a lease leaves of a cancellation's: a worker ends its session at the next
+   * step of its clock, and this controller's clock counts whole milliseconds.
+   */
+  public static final long CANCEL_MARGIN_MS = 500;
+
+  /** Tries to learn of cancellations within the time for which that knowledge is recent. */
+  public static final int HORIZON_TRIES = 4;
+
+  /** ms at least between two of them, however short that time is. */
+  public static final long HORIZON_PERIOD_MIN_MS = 250;
+
+  /** ms of that time below which ordinary delays end leases: a watch and two lost answers take so long. */
+  public static final long HORIZON_TIGHT_MS = 8_000;
+
   /** Significant digits of histograms: 1% is enough for latencies and keeps them small. */
   public static final int HISTOGRAM_DIGITS = 2;
 
--- a/src/main/java/org/baygw/control/Controller.java
+++ b/src/main/java/org/baygw/control/Controller.java
@@ -9,6 +9,7 @@
 import org.baygw.control.core.Outbox;
 import org.baygw.control.fleet.Fleet;
 import org.baygw.control.jobs.Jobs;
+import org.baygw.control.membership.CancellationHorizon;
 import org.baygw.control.membership.Membership;
 import org.baygw.control.membership.Peers;
 import org.baygw.control.quota.Desk;
@@ -38,7 +39,8 @@
     this.membership = new Membership(clock, settings, store, view);
     this.peers = new Peers(clock, out, settings, store, view);
     this.jobs = new Jobs(clock, out, settings, store, view, peers);
-    this.workers = new Workers(clock, out, settings, store, view, membership);
+    CancellationHorizon horizon = new CancellationHorizon(clock, settings, store, peers);
+    this.workers = new Workers(clock, out, settings, store, view, membership, horizon);
     this.desk = new Desk(clock, settings, store, view, membership);
     Cloud cloud = new Cloud(clock, out, settings);
     this.fleet = new Fleet(clock, settings, store, view, membership, cloud, desk);
--- a/src/main/java/org/baygw/control/config/Settings.java
+++ b/src/main/java/org/baygw/control/config/Settings.java
@@ -1,6 +1,7 @@
 package org.baygw.control.config;
 
 import java.util.List;
+import org.baygw.control.Constants;
 
 /** The platform's settings file, checked. */
 public record Settings(
@@ -35,7 +36,25 @@
   public record Objective(String jobClass, double withinS, double times) {}
 
   /** Workers' periods, in seconds. */
-  public record WorkerTimes(double reportS, double leaseS, double cancelS) {}
+  public record WorkerTimes(double reportS, double leaseS, double cancelS) {
+    /**
+     * ms for which knowledge of cancellations is recent enough to renew a lease: what a lease leaves of
+     * a cancellation's time, by this controller's steady clock.
+     */
+    public long horizonMs() {
+      return (long)
+          (cancelS * 1000 * (1 - Constants.DRIFT)
+              - leaseS * 1000 * (1 + Constants.DRIFT)
+              - Constants.CANCEL_MARGIN_MS);
+    }
+
+    /** ms after which such knowledge is to be drawn anew, at most the given. */
+    public long horizonPeriodMs(long mostMs) {
+      return Math.max(
+          Constants.HORIZON_PERIOD_MIN_MS,
+          Math.min(mostMs, horizonMs() / Constants.HORIZON_TRIES));
+    }
+  }
 
   /** What the state service takes. */
   public record StateLimits(double rps, double writeRps, double valueKb, int txnOps) {}
--- a/src/main/java/org/baygw/control/jobs/Jobs.java
+++ b/src/main/java/org/baygw/control/jobs/Jobs.java
@@ -235,7 +235,10 @@
         Constants.SUBMIT_WAIT_MS,
         outcome -> {
           switch (outcome) {
-            case OK -> answer(request, id);
+            case OK -> {
+              peers.cancelled();
+              answer(request, id);
+            }
             case CONFLICT -> store.current(ok -> abort(request, id, ok ? tries - 1 : 0));
             default -> later(request, 503, "the state service does not answer");
           }
--- a/src/main/java/org/baygw/control/membership/Peers.java
+++ b/src/main/java/org/baygw/control/membership/Peers.java
@@ -2,7 +2,9 @@
 
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
+import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import org.apache.avro.io.BinaryDecoder;
 import org.apache.avro.io.BinaryEncoder;
@@ -15,18 +17,22 @@
 import org.baygw.control.core.Clock;
 import org.baygw.control.core.Json;
 import org.baygw.control.core.Outbox;
+import org.baygw.control.membership.wire.Cancellation;
 import org.baygw.control.membership.wire.PeerStatus;
 import org.baygw.control.store.Store;
 import org.baygw.control.store.View;
 
 /**
- * What controllers tell each other, in Avro. Hints only: they say when to look at the state service
- * again, and whether it is only this controller that it refuses.
+ * What controllers tell each other, in Avro. Hints only for whatever is durable: they say when to look
+ * at the state service again, and whether it is only this controller that it refuses. Cancellations go
+ * with them, since a durable one is final and may be acted on at once; and an answer vouches that the
+ * sibling knew of no other at the time at which it was asked.
  */
 public final class Peers {
   public static final String PATH = "/peer/status";
 
-  private record Seen(long at, long stateAgeMs) {}
+  /** A sibling's latest status. */
+  private record Seen(long at, long stateAgeMs, long revision) {}
 
   private final Clock clock;
   private final Outbox out;
@@ -34,7 +40,14 @@
   private final Store store;
   private final View view;
   private final Map<String, Seen> seen = new HashMap<>();
+
+  /** For each sibling, the sending time of the latest request that it answered with a voucher. */
+  private final Map<String, Long> vouched = new HashMap<>();
+
+  private final long periodMs;
   private long nextSend;
+  private long lastSend = Long.MIN_VALUE / 2;
+  private boolean urgent;
 
   public Peers(Clock clock, Outbox out, Settings settings, Store store, View view) {
     this.clock = clock;
@@ -42,34 +55,60 @@
     this.settings = settings;
     this.store = store;
     this.view = view;
+    // Where a lease leaves little time, the horizon of cancellations must be drawn more often.
+    this.periodMs = settings.workers().horizonPeriodMs(Constants.PEER_MS);
   }
 
   public void tick() {
     long now = clock.now();
-    if (!store.loaded() || now < nextSend) {
+    boolean due = now >= nextSend || urgent && now >= lastSend + Constants.PEER_URGENT_MS;
+    if (!store.loaded() || !due) {
       return;
     }
-    nextSend = now + Constants.PEER_MS;
-    byte[] me = encode();
+    urgent = false;
+    lastSend = now;
+    nextSend = now + periodMs;
     for (Settings.Peer p : settings.peers()) {
+      Seen last = seen.get(p.label());
       out.call(
           p.addr(),
           "POST",
           PATH,
-          me,
-          Constants.PEER_MS,
+          encode(last == null ? view.revision() : last.revision()),
+          periodMs,
           (status, body) -> {
-            if (status == 200) {
-              learn(body);
+            PeerStatus s = status == 200 ? learn(body) : null;
+            if (s != null && s.getVouches() && s.getLabel().equals(p.label())) {
+              // What it had told users of when it answered, it lists; so it holds for the sending time.
+              vouched.merge(p.label(), now, Math::max);
             }
           });
     }
   }
 
+  /** A cancellation has become durable here: the siblings hear of it with the next clock step. */
+  public void cancelled() {
+    urgent = true;
+  }
+
+  /**
+   * Every cancellation that a sibling may have told a user of before this time is known here: each of
+   * them has vouched for it. A sibling that is gone, or has not read all keys since it started, vouches
+   * for nothing.
+   */
+  long vouchedUntil() {
+    long until = clock.now();
+    for (Settings.Peer p : settings.peers()) {
+      until = Math.min(until, vouched.getOrDefault(p.label(), Long.MIN_VALUE / 2));
+    }
+    return until;
+  }
+
   /** Another controller's message; answered with our own. */
   public void receive(long request, byte[] body) {
-    if (learn(body)) {
-      out.answer(request, 200, encode());
+    PeerStatus s = learn(body);
+    if (s != null) {
+      out.answer(request, 200, encode(s.getRevision()));
     } else {
       out.answer(request, 400, Json.bytes(Json.object().put("error", "no status")));
     }
@@ -87,29 +126,40 @@
     return false;
   }
 
-  private boolean learn(byte[] body) {
+  /** Takes a sibling's status in; null where it is none. */
+  private PeerStatus learn(byte[] body) {
     try {
       BinaryDecoder d = DecoderFactory.get().binaryDecoder(body, null);
       PeerStatus s = new SpecificDatumReader<>(PeerStatus.class).read(null, d);
       if (settings.peers().stream().noneMatch(p -> p.label().equals(s.getLabel()))) {
-        return false;
+        return null;
+      }
+      seen.put(s.getLabel(), new Seen(clock.now(), s.getStateAgeMs(), s.getRevision()));
+      for (Cancellation c : s.getCancellations()) {
+        view.toldCancelled(c.getJob(), c.getStamp());
       }
-      seen.put(s.getLabel(), new Seen(clock.now(), s.getStateAgeMs()));
       if (s.getRevision() > view.revision()) {
         store.refresh();
       }
-      return true;
+      return s;
     } catch (IOException | RuntimeException e) {
-      return false; // whatever was sent, it is no status
+      return null; // whatever was sent, it is no status
     }
   }
 
-  private byte[] encode() {
+  /** This controller's status for a sibling whose copy has reached the revision. */
+  private byte[] encode(long revision) {
+    List<Cancellation> cancellations = new ArrayList<>();
+    view.cancelledAfter(revision)
+        .forEach((stamp, jobs) -> jobs.forEach(j -> cancellations.add(new Cancellation(j, stamp))));
+    boolean all = cancellations.size() <= Constants.CANCELLATIONS_TOLD;
     PeerStatus s =
         new PeerStatus(
             settings.label(),
             view.revision(),
-            Math.max(0, Math.min(clock.now() - store.lastContact(), Integer.MAX_VALUE)));
+            Math.max(0, Math.min(clock.now() - store.lastContact(), Integer.MAX_VALUE)),
+            store.loaded() && all,
+            all ? cancellations : cancellations.subList(0, Constants.CANCELLATIONS_TOLD));
     ByteArrayOutputStream bytes = new ByteArrayOutputStream();
     BinaryEncoder e = EncoderFactory.get().directBinaryEncoder(bytes, null);
     try {
--- a/src/main/java/org/baygw/control/store/Store.java
+++ b/src/main/java/org/baygw/control/store/Store.java
@@ -66,6 +66,7 @@
   private final Settings settings;
   private final TokenBucket requests;
   private final TokenBucket writes;
+  private final long watchWaitMs;
   private final long watchGapMs;
   private final long syncGapMs;
   private final List<Deque<Waiting>> queues = new ArrayList<>();
@@ -85,6 +86,9 @@
   /** When the copy was last made current. */
   private long lastCurrent = Long.MIN_VALUE / 2;
 
+  /** When the latest request was sent whose answer made the copy current. */
+  private long currentAsOf = Long.MIN_VALUE / 2;
+
   public Store(Clock clock, Outbox out, Settings s, View view) {
     this.clock = clock;
     this.out = out;
@@ -95,6 +99,7 @@
     this.writes = new TokenBucket(1, 1);
     share(false);
     double all = s.peers().size() + 1;
+    this.watchWaitMs = s.workers().horizonPeriodMs(Constants.WATCH_WAIT_MS);
     this.watchGapMs =
         Math.max(
             Constants.WATCH_GAP_MS,
@@ -118,6 +123,14 @@
     return lastContact;
   }
 
+  /**
+   * The copy has all that was durable at this time: the sending of a request whose answer made it
+   * current. An answer may have been held up, and an open watch that is silent proves nothing.
+   */
+  public long currentAsOf() {
+    return currentAsOf;
+  }
+
   /** How long conditional writes took, with their wait for tokens. */
   public Histogram writeMs() {
     return writeMs;
@@ -128,7 +141,7 @@
     if (!loaded || behind()) {
       if (!loading && !watching && !syncing && now >= nextWatch) {
         loading = true;
-        list("", 0, new HashSet<>());
+        list("", 0, clock.now(), new HashSet<>());
       }
     } else if (!loading) {
       if (!watching && now >= nextWatch) {
@@ -395,7 +408,7 @@
         });
   }
 
-  private void list(String after, long firstRev, Set<String> seen) {
+  private void list(String after, long firstRev, long begun, Set<String> seen) {
     String path =
         "/kv?under=" + Keys.ROOT + "&page=500" + (after.isEmpty() ? "" : "&after=" + after);
     request(
@@ -422,7 +435,7 @@
             view.put(last, e.path("value"), e.path("stamp").asLong());
           }
           if (n.path("more").asBoolean()) {
-            list(last, rev, seen);
+            list(last, rev, begun, seen);
             return;
           }
           // After a gap in the watch: what is no longer listed was deleted meanwhile.
@@ -435,6 +448,7 @@
           loading = false;
           loaded = true;
           lastCurrent = clock.now();
+          currentAsOf = Math.max(currentAsOf, begun);
           LOG.info("read {} keys at revision {}", seen.size(), rev);
         });
   }
@@ -457,7 +471,7 @@
     watching = true;
     nextWatch = clock.now() + watchGapMs;
     changes(
-        syncWaiters.isEmpty() ? Constants.WATCH_WAIT_MS : 0,
+        syncWaiters.isEmpty() ? watchWaitMs : 0,
         ok -> {
           watching = false;
           nextWatch = ok ? nextWatch : clock.now() + Constants.STATE_RETRY_MS;
@@ -481,19 +495,20 @@
 
   private void changes(long waitMs, Consumer<Boolean> then) {
     List<Consumer<Boolean>> waiters = takeWaiters();
+    long sent = clock.now();
     send(
         "GET",
         "/watch?under=" + Keys.ROOT + "&after=" + view.revision() + "&waitMs=" + waitMs,
         null,
         waitMs > 0 ? waitMs + 2L * Constants.STATE_TIMEOUT_MS : Constants.STATE_TIMEOUT_MS,
         (status, answer) -> {
-          boolean ok = events(status, answer);
+          boolean ok = events(sent, status, answer);
           then.accept(ok);
           waiters.forEach(w -> w.accept(ok));
         });
   }
 
-  private boolean events(int status, byte[] answer) {
+  private boolean events(long sent, int status, byte[] answer) {
     if (status == 410) {
       lastCurrent = Long.MIN_VALUE / 2; // too far behind: everything is read again
       return false;
@@ -515,6 +530,7 @@
     }
     view.reached(n.path("ledgerRev").asLong());
     lastCurrent = clock.now();
+    currentAsOf = Math.max(currentAsOf, sent);
     return true;
   }
 }
--- a/src/main/java/org/baygw/control/store/View.java
+++ b/src/main/java/org/baygw/control/store/View.java
@@ -10,6 +10,7 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Set;
+import java.util.SortedMap;
 import java.util.TreeMap;
 import java.util.TreeSet;
 import java.util.function.Function;
@@ -106,6 +107,12 @@
 
   private Set<String> changedMachines = new LinkedHashSet<>();
 
+  /** Jobs that this copy has as cancelled, by the revision at which they became so. */
+  private final TreeMap<Long, Set<String>> cancelled = new TreeMap<>();
+
+  /** Cancellations that a sibling has made durable and this copy has not reached, with their revision. */
+  private final Map<String, Long> toldCancelled = new HashMap<>();
+
   public long revision() {
     return revision;
   }
@@ -143,6 +150,36 @@
     return written.get(Keys.progress(job, chunk));
   }
 
+  /**
+   * Whether a job's tasks are to run: it is open, and no sibling told of its cancellation. That is final
+   * once durable, so it is acted on early; users are answered by the job's key alone.
+   */
+  public boolean runs(String job) {
+    Entry<Job> j = jobs.get(job);
+    return j != null && j.value().open() && !toldCancelled.containsKey(job);
+  }
+
+  /** A sibling told of a cancellation that became durable at this revision. */
+  public void toldCancelled(String job, long stamp) {
+    if (stamp > revision && toldCancelled.putIfAbsent(job, stamp) == null) {
+      changes++;
+      lookAtMachinesOf(job);
+    }
+  }
+
+  /** The cancelled jobs of this copy beyond a revision, each with its own. */
+  public SortedMap<Long, Set<String>> cancelledAfter(long rev) {
+    return cancelled.tailMap(rev, false);
+  }
+
+  private void lookAtMachinesOf(String job) {
+    for (Entry<Progress> c : progress.getOrDefault(job, NO_CHUNKS).values()) {
+      for (int i : c.value().live.keySet()) {
+        changedMachines.addAll(places.getOrDefault(new TaskId(job, i), Set.of()));
+      }
+    }
+  }
+
   /** How many pages a part's record has. */
   public int pages(Part p) {
     return roster(p, 0).pages();
@@ -231,6 +268,7 @@
     if (rev > revision) {
       revision = rev;
       tombs.values().removeIf(s -> s <= rev);
+      toldCancelled.values().removeIf(s -> s <= rev);
     }
   }
 
@@ -272,11 +310,10 @@
         set(jobs, id, v == null ? null : Records.job(id, v), stamp);
         activate(id);
         if (v != null && !jobs.get(id).value().open()) {
-          for (Entry<Progress> c : progress.getOrDefault(id, NO_CHUNKS).values()) {
-            for (int i : c.value().live.keySet()) {
-              changedMachines.addAll(places.getOrDefault(new TaskId(id, i), Set.of()));
-            }
+          if (jobs.get(id).value().state() == Job.State.CANCELLED) {
+            cancelled.computeIfAbsent(stamp, k -> new HashSet<>()).add(id);
           }
+          lookAtMachinesOf(id);
         }
       }
       case "prog" -> progressChanged(key, id, Integer.parseInt(p[3]), v, stamp);
--- a/src/main/java/org/baygw/control/workers/Contact.java
+++ b/src/main/java/org/baygw/control/workers/Contact.java
@@ -181,8 +181,9 @@
   private Double grace(
       Agent a, TaskId t, WorkerCodec.Seen s, Machine m, boolean ours, Ledger l) {
     View.Entry<Job> j = view.jobs.get(t.job());
-    if (!ours || j == null || !j.value().open()) {
-      return l.moving(t) && j != null && j.value().open() ? null : Double.valueOf(0);
+    boolean runs = view.runs(t.job());
+    if (!ours || !runs) {
+      return l.moving(t) && runs ? null : Double.valueOf(0);
     }
     JobSpec spec = j.value().spec();
     if (!proofs.wanted(t, s.attempt(), m)) {
--- a/src/main/java/org/baygw/control/workers/Ledger.java
+++ b/src/main/java/org/baygw/control/workers/Ledger.java
@@ -407,7 +407,7 @@
     String name = rounds.target(t, from.name);
     View.Entry<Machine> e = name == null ? null : view.machines.get(name);
     View.Entry<Job> j = view.jobs.get(t.job());
-    if (e == null || d.target != null || j == null || !j.value().open() || view.grant(t).stop()) {
+    if (e == null || d.target != null || !view.runs(t.job()) || view.grant(t).stop()) {
       return false;
     }
     Machine to = e.value();
--- a/src/main/java/org/baygw/control/workers/Placing.java
+++ b/src/main/java/org/baygw/control/workers/Placing.java
@@ -94,7 +94,7 @@
         continue;
       }
       long since = unplacedSince.computeIfAbsent(t, k -> now);
-      boolean over = j == null || !j.value().open() || l.stop();
+      boolean over = !view.runs(t.job()) || l.stop();
       JobSpec s = over ? null : j.value().spec();
       Room r = null;
       boolean again = false;
--- a/src/main/java/org/baygw/control/workers/Proofs.java
+++ b/src/main/java/org/baygw/control/workers/Proofs.java
@@ -4,7 +4,6 @@
 import java.util.Map;
 import org.baygw.control.config.Settings;
 import org.baygw.control.core.Clock;
-import org.baygw.control.model.Job;
 import org.baygw.control.model.Machine;
 import org.baygw.control.model.Progress;
 import org.baygw.control.model.TaskId;
@@ -82,8 +81,7 @@
 
   /** Whether the task is to run on under this attempt. */
   boolean wanted(TaskId t, int attempt, Machine m) {
-    View.Entry<Job> j = view.jobs.get(t.job());
-    if (j == null || !j.value().open()) {
+    if (!view.runs(t.job())) {
       return false;
     }
     Progress.Live l = view.grant(t);
--- a/src/main/java/org/baygw/control/workers/Workers.java
+++ b/src/main/java/org/baygw/control/workers/Workers.java
@@ -13,6 +13,7 @@
 import org.baygw.control.core.Clock;
 import org.baygw.control.core.Json;
 import org.baygw.control.core.Outbox;
+import org.baygw.control.membership.CancellationHorizon;
 import org.baygw.control.membership.Membership;
 import org.baygw.control.model.Machine;
 import org.baygw.control.model.Part;
@@ -40,6 +41,7 @@
   private final Store store;
   private final View view;
   private final Membership membership;
+  private final CancellationHorizon horizon;
   private final Map<String, Agent> agents = new HashMap<>();
   private final Map<Part, Ledger> ledgers = new HashMap<>();
 
@@ -62,7 +64,9 @@
       Settings settings,
       Store store,
       View view,
-      Membership membership) {
+      Membership membership,
+      CancellationHorizon horizon) {
+    this.horizon = horizon;
     this.clock = clock;
     this.out = out;
     this.settings = settings;
@@ -117,14 +121,23 @@
     a.heed(r, clock.now(), proofs.leaseMs());
     take(a, r, true);
     View.Entry<Machine> m = view.machines.get(a.name);
-    List<WorkerCodec.Order> orders = List.of();
+    Ledger l = ledger(part, claim);
     if (m == null) {
       register(a, r);
     } else {
-      Ledger l = ledger(part, claim);
       settle(a, m.value(), l);
-      orders = contact.reply(a, m.value(), l, r.tick());
     }
+    if (!horizon.recent()) {
+      // A 200 would let the worker keep tasks of which this controller cannot know that they were
+      // cancelled; what is known to be cancelled is stopped directly all the same.
+      if (m != null) {
+        contact.urgent(a, m.value(), l);
+      }
+      out.answer(request, 503, Json.bytes(Json.object().put("error", "out of touch")));
+      return;
+    }
+    List<WorkerCodec.Order> orders =
+        m == null ? List.of() : contact.reply(a, m.value(), l, r.tick());
     a.lastAnswered = clock.now();
     a.leaseOver = false;
     a.answeredToken = a.token();
--- a/src/test/java/org/baygw/control/sim/Checker.java
+++ b/src/test/java/org/baygw/control/sim/Checker.java
@@ -4,10 +4,12 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.TreeSet;
+import java.util.function.Consumer;
 import org.baygw.control.config.Settings;
 
 /** Watches the simulated world and notes every broken rule of the protocol, by its name there. */
@@ -78,6 +80,32 @@
 
   void taskDone(String task) {
     done.add(task);
+    String id = job(task).id();
+    boolean last = true;
+    for (int i = 0; i < jobs.get(id).tasks(); i++) {
+      last &= done.contains(id + "/" + i);
+    }
+    if (last && cancelAtEnd != null) {
+      cancelAtEnd.accept(id);
+    }
+  }
+
+  /** Asked to cancel a job at the moment at which its last task ends; null: nobody does. */
+  Consumer<String> cancelAtEnd;
+
+  /** Jobs of which a task is on a machine, in order. */
+  List<String> running() {
+    return on.entrySet().stream()
+        .filter(e -> !e.getValue().isEmpty())
+        .map(e -> job(e.getKey()).id())
+        .distinct()
+        .toList();
+  }
+
+  Set<FakeWorker> machinesOf(String id) {
+    Set<FakeWorker> found = new HashSet<>();
+    onOf(id).values().forEach(found::addAll);
+    return found;
   }
 
   int tasksOn(String id) {
@@ -125,7 +153,7 @@
       milliCpus.merge(s.team(), Math.round(s.cpus() * 1000), Long::sum);
     }
     Long cancelled = cancelTold.get(s.id());
-    if (cancelled != null && world.now() > cancelled + World.CANCEL_MS) {
+    if (cancelled != null && world.now() > cancelled + world.cancelMs) {
       breaks("ran_cancelled", task);
     }
     int here = 0;
@@ -202,7 +230,7 @@
     }
     if (now.equals("cancelled") && cancelTold.putIfAbsent(id, world.now()) == null) {
       world.after(
-          World.CANCEL_MS,
+          world.cancelMs,
           () -> {
             if (tasksOn(id) > 0) {
               breaks("ran_cancelled", id);
--- a/src/test/java/org/baygw/control/sim/FakeState.java
+++ b/src/test/java/org/baygw/control/sim/FakeState.java
@@ -64,6 +64,15 @@
     }
   }
 
+  private double lateShare;
+  private long lateUntil;
+
+  /** That share of transactions gets no answer and is carried out 2 to 12 s later. */
+  void lateWrites(double share, long forMs) {
+    lateShare = share;
+    lateUntil = world.now() + forMs;
+  }
+
   /** An answer with more changes than this takes longer than any caller waits. */
   int backlog = Integer.MAX_VALUE;
 
@@ -182,7 +191,11 @@
     if (at.equals("/kv")) {
       list(q, respond);
     } else if (at.equals("/txn")) {
-      txn(n, respond);
+      if (world.now() < lateUntil && world.random.nextDouble() < lateShare) {
+        world.after(2_000 + world.random.nextInt(10_000), () -> txn(n, (status, body) -> {}));
+      } else {
+        txn(n, respond);
+      }
     } else if (at.equals("/watch")) {
       Watch w =
           new Watch(
--- a/src/test/java/org/baygw/control/sim/FakeWorker.java
+++ b/src/test/java/org/baygw/control/sim/FakeWorker.java
@@ -92,7 +92,7 @@
     }
     long now = world.now();
     // A hanging machine goes on with its tasks within its lease only: after it they are over.
-    if (now - answeredSent > World.LEASE_MS) {
+    if (now - answeredSent > world.leaseMs) {
       List.copyOf(runs.values()).forEach(this::leave);
       runs.clear();
       session++;
--- a/src/test/java/org/baygw/control/sim/Scenario.java
+++ b/src/test/java/org/baygw/control/sim/Scenario.java
@@ -107,6 +107,8 @@
                   case "capacity" -> world.cloud.capacity = Integer.parseInt(v);
                   case "boot" -> world.cloud.bootMs = seconds(v);
                   case "never-boots" -> world.cloud.nextNeverBoots(Integer.parseInt(v));
+                  case "lease" -> world.leaseMs = seconds(v);
+                  case "cancel" -> world.cancelMs = seconds(v);
                   case "rps" -> world.stateRps = Double.parseDouble(v);
                   case "write-rps" -> {
                     world.stateWriteRps = Double.parseDouble(v);
@@ -194,6 +196,19 @@
           }
         }
       }
+      case "apart" -> {
+        // Cut off from the state service and the siblings, not from workers and users.
+        for (String other : names("controllers")) {
+          world.cut(w[3], other, World.Cut.DROP, forMs);
+          world.cut(other, w[3], World.Cut.DROP, forMs);
+        }
+        world.cut(w[3], "state", World.Cut.HOLD, forMs);
+      }
+      case "mute" -> names(w[3]).forEach(m -> world.mute(m, forMs));
+      case "late-writes" -> world.state.lateWrites(Double.parseDouble(word(w, "share", "1")), forMs);
+      case "cancel-now" -> cancelNow(w, seconds(word(w, "hang", "0")));
+      case "cancel-at-end" ->
+          world.checker.cancelAtEnd = this::abort;
       case "cut-zone-workers" -> {
         // Cut off from the controllers of other zones; what its own controllers say still arrives.
         for (FakeWorker worker : world.workers.values()) {
@@ -229,6 +244,19 @@
     }
   }
 
+  /** Calls off jobs that run, within a fifth of a second; their machines may hang. */
+  private void cancelNow(String[] w, long hangMs) {
+    int left = Integer.parseInt(word(w, "count", "1"));
+    for (String id : world.checker.running()) {
+      if (left-- > 0) {
+        world.after(world.random.nextInt(200), () -> abort(id));
+        if (hangMs > 0) {
+          world.checker.machinesOf(id).forEach(m -> m.hang(hangMs));
+        }
+      }
+    }
+  }
+
   private List<String> names(String pattern) {
     if (pattern.equals("controllers")) {
       return world.labels;
--- a/src/test/java/org/baygw/control/sim/World.java
+++ b/src/test/java/org/baygw/control/sim/World.java
@@ -22,9 +22,7 @@
 final class World {
   static final String STATE = "10.9.0.1:2379";
   static final String CLOUD = "10.9.0.2:8443";
-  static final int LEASE_MS = 10_000;
   static final int REPORT_MS = 2_000;
-  static final int CANCEL_MS = 35_000;
 
   private record Event(long at, long order, Runnable action) {}
 
@@ -54,6 +52,11 @@
   /** Workers whose reports are delivered once more, so much later, until then. */
   private final Map<String, long[]> copies = new HashMap<>();
 
+  /** Until when workers' reports reach no controller, while direct commands are answered. */
+  private final Map<String, Long> mute = new HashMap<>();
+
+  long leaseMs = 10_000;
+  long cancelMs = 35_000;
   double stateRps = 400;
   double stateWriteRps = 200;
   double stateValueKb = 8;
@@ -168,7 +171,7 @@
         zones,
         teams,
         List.of(new Settings.Objective("any", 60, 0)),
-        new Settings.WorkerTimes(REPORT_MS / 1000.0, LEASE_MS / 1000.0, CANCEL_MS / 1000.0),
+        new Settings.WorkerTimes(REPORT_MS / 1000.0, leaseMs / 1000.0, cancelMs / 1000.0),
         new Settings.StateLimits(stateRps, stateWriteRps, stateValueKb, stateTxnOps),
         new Settings.CloudLimits(10, 3),
         1000);
@@ -199,6 +202,10 @@
     copies.put(from, new long[] {lateMs, now + forMs});
   }
 
+  void mute(String worker, long forMs) {
+    mute.put(worker, now + forMs);
+  }
+
   private CutState cutOf(String a, String b) {
     CutState c = cuts.get(a + ">" + b);
     return c == null || c.until() <= now ? null : c;
@@ -237,9 +244,14 @@
           }
         };
     after(timeoutMs, () -> once.done(Outbox.NO_ANSWER, new byte[0]));
+    if (now < mute.getOrDefault(from, 0L)) {
+      after(latency(), () -> once.done(Outbox.NOT_SENT, new byte[0]));
+      return;
+    }
     long[] copy = path.equals("/checkin") ? copies.get(from) : null;
     if (copy != null && now < copy[1]) {
-      after(copy[0], () -> arrive(from, to, false, method, path, body, (status, answer) -> {}));
+      long late = copy[0] > 0 ? copy[0] : 2_000 + random.nextInt((int) (2 * leaseMs));
+      after(late, () -> arrive(from, to, false, method, path, body, (status, answer) -> {}));
     }
     CutState there = cutOf(from, to);
     if (there != null && there.kind() == Cut.DROP) {
