--- a/src/test/java/org/baygw/control/sim/Checker.java
+++ b/src/test/java/org/baygw/control/sim/Checker.java
@@ -41,7 +41,7 @@
   private final Map<String, Long> progress = new HashMap<>();
   private final Set<String> done = new HashSet<>();
   private final Map<String, String> told = new HashMap<>();
-  private final Map<String, Long> cancelTold = new HashMap<>();
+  final Map<String, Long> cancelTold = new HashMap<>();
   private final Set<String> cancelAsked = new HashSet<>();
   final Map<String, Long> doneTold = new LinkedHashMap<>();
   final Set<String> broken = new TreeSet<>();
--- a/src/test/java/org/baygw/control/sim/Scenario.java
+++ b/src/test/java/org/baygw/control/sim/Scenario.java
@@ -170,7 +170,7 @@
     long forMs = seconds(word(w, "for", "0"));
     switch (w[2]) {
       case "submit" -> submit(w);
-      case "abort" -> abort(w[3]);
+      case "abort" -> abort(w[3], word(w, "via", null));
       case "crash" -> {
         for (World.Node n : world.nodes.values()) {
           if (w[3].equals("all") || w[3].equals(n.label)) {
@@ -203,12 +203,13 @@
           world.cut(other, w[3], World.Cut.DROP, forMs);
         }
         world.cut(w[3], "state", World.Cut.HOLD, forMs);
+        world.cut("state", w[3], World.Cut.DROP, forMs);
       }
       case "mute" -> names(w[3]).forEach(m -> world.mute(m, forMs));
       case "late-writes" -> world.state.lateWrites(Double.parseDouble(word(w, "share", "1")), forMs);
       case "cancel-now" -> cancelNow(w, seconds(word(w, "hang", "0")));
       case "cancel-at-end" ->
-          world.checker.cancelAtEnd = this::abort;
+          world.checker.cancelAtEnd = id -> abort(id, null);
       case "cut-zone-workers" -> {
         // Cut off from the controllers of other zones; what its own controllers say still arrives.
         for (FakeWorker worker : world.workers.values()) {
@@ -249,7 +250,7 @@
     int left = Integer.parseInt(word(w, "count", "1"));
     for (String id : world.checker.running()) {
       if (left-- > 0) {
-        world.after(world.random.nextInt(200), () -> abort(id));
+        world.after(world.random.nextInt(200), () -> abort(id, null));
         if (hangMs > 0) {
           world.checker.machinesOf(id).forEach(m -> m.hang(hangMs));
         }
@@ -325,15 +326,19 @@
       failures.add(method + " " + path + " was never answered");
       return;
     }
-    Runnable again =
-        () -> world.after(1_000, () -> ask(method, path, body, id, tries + 1, then));
     List<String> live = new ArrayList<>(world.liveLabels());
     if (live.isEmpty()) {
-      again.run();
+      world.after(1_000, () -> ask(method, path, body, id, tries + 1, then));
       return;
     }
     live.sort(null);
-    String label = live.get(world.random.nextInt(live.size()));
+    askOf(live.get(world.random.nextInt(live.size())), method, path, body, id, tries, then);
+  }
+
+  private void askOf(
+      String label, String method, String path, byte[] body, String id, int tries, Then then) {
+    Runnable again =
+        () -> world.after(1_000, () -> ask(method, path, body, id, tries + 1, then));
     String before = world.checker.toldOf(id);
     world.call(
         "user",
@@ -366,9 +371,14 @@
         });
   }
 
-  private void abort(String id) {
+  private void abort(String id, String via) {
     world.checker.abortAsked(id);
-    ask("POST", "/v1/jobs/" + id + "/abort", Json.bytes(Json.object()), id, 0, i -> {});
+    byte[] none = Json.bytes(Json.object());
+    if (via == null) {
+      ask("POST", "/v1/jobs/" + id + "/abort", none, id, 0, i -> {});
+    } else {
+      askOf(via, "POST", "/v1/jobs/" + id + "/abort", none, id, 0, i -> {});
+    }
   }
 
   private void expect(String[] w) {
@@ -385,6 +395,11 @@
         if (!w[3].equals(told)) {
           failures.add(w[2] + " was last told " + told);
         }
+        Long at = world.checker.cancelTold.get(w[2]);
+        long by = seconds(word(w, "by", String.valueOf(end / 1000.0)));
+        if (w[3].equals("cancelled") && (at == null || at > by)) {
+          failures.add(w[2] + " was told cancelled at " + at);
+        }
       }
       case "on" -> {
         int on = world.checker.tasksOn(w[2]);
