Return machines that keep cancelled tasks by the part's owner when the usual way is too slow

A machine that hangs keeps its tasks whatever its lease says, and in an outage of the state service nobody can write that it is given up.

--- a/src/main/java/org/baygw/control/Constants.java
+++ b/src/main/java/org/baygw/control/Constants.java
@@ -272,6 +272,13 @@
   /** Share of the time for a cancellation after which a silent machine with cancelled tasks goes. */
   public static final double CANCEL_SHARE = 0.4;
 
+  /**
+   * Share of the time for a cancellation after which a part's owner itself has the cloud take a machine
+   * back that may still have a cancelled task: the usual way is quicker, and what is left is enough for
+   * a few tries.
+   */
+  public static final double OVERDUE_SHARE = 0.5;
+
   /** ms a granted task may wait in a part with no fitting machine before it goes back to the queue. */
   public static final long UNGRANT_MS = 4_000;
 
--- a/src/main/java/org/baygw/control/Controller.java
+++ b/src/main/java/org/baygw/control/Controller.java
@@ -31,6 +31,7 @@
   private final Jobs jobs;
   private final Workers workers;
   private final Desk desk;
+  private final Cloud cloud;
   private final Fleet fleet;
   private final Admin admin;
 
@@ -39,10 +40,10 @@
     this.membership = new Membership(clock, settings, store, view);
     this.peers = new Peers(clock, out, settings, store, view);
     this.jobs = new Jobs(clock, out, settings, store, view, peers);
+    this.cloud = new Cloud(clock, out, settings);
     CancellationHorizon horizon = new CancellationHorizon(clock, settings, store, peers);
-    this.workers = new Workers(clock, out, settings, store, view, membership, horizon);
+    this.workers = new Workers(clock, out, settings, store, view, membership, horizon, cloud);
     this.desk = new Desk(clock, settings, store, view, membership);
-    Cloud cloud = new Cloud(clock, out, settings);
     this.fleet = new Fleet(clock, settings, store, view, membership, cloud, desk);
     this.admin =
         new Admin(clock, out, settings, store, view, membership, workers, desk);
@@ -100,5 +101,6 @@
     workers.tick();
     workers.round();
     fleet.tick();
+    cloud.tick();
   }
 }
--- a/src/main/java/org/baygw/control/fleet/Fleet.java
+++ b/src/main/java/org/baygw/control/fleet/Fleet.java
@@ -150,7 +150,6 @@
       }
       returns(now);
     }
-    cloud.tick();
   }
 
   private void readings(long now) {
--- a/src/main/java/org/baygw/control/membership/CancellationHorizon.java
+++ b/src/main/java/org/baygw/control/membership/CancellationHorizon.java
@@ -40,6 +40,18 @@
     return clock.now() - knownUntil() <= maxAgeMs;
   }
 
+  /**
+   * Whether another controller may have taken this one's claims over: the copy has not been current for
+   * a hold's life, and it is not an outage in which every sibling tells that it fares no better. An
+   * answer after a long silence is no reason yet: the copy may still lack the takeover.
+   */
+  public boolean mayBeReplaced() {
+    long latest = clock.now() - Constants.HOLD_TTL_MS;
+    boolean outage =
+        store.lastContact() < latest && peers.vouchedUntil() >= latest && !peers.refusedAlone();
+    return store.currentAsOf() < latest && !outage;
+  }
+
   private long knownUntil() {
     return store.loaded() ? Math.max(store.currentAsOf(), peers.vouchedUntil()) : Long.MIN_VALUE / 2;
   }
--- a/src/main/java/org/baygw/control/workers/Workers.java
+++ b/src/main/java/org/baygw/control/workers/Workers.java
@@ -9,6 +9,7 @@
 import java.util.Set;
 import org.HdrHistogram.Histogram;
 import org.baygw.control.Constants;
+import org.baygw.control.cloud.Cloud;
 import org.baygw.control.config.Settings;
 import org.baygw.control.core.Clock;
 import org.baygw.control.core.Json;
@@ -53,6 +54,7 @@
   private final Placing placing;
   private final Contact contact;
   private final Reach reach;
+  private final Overdue overdue;
   private long nextPass;
   private long seenChanges = -1;
   private long nextAll;
@@ -65,7 +67,8 @@
       Store store,
       View view,
       Membership membership,
-      CancellationHorizon horizon) {
+      CancellationHorizon horizon,
+      Cloud cloud) {
     this.horizon = horizon;
     this.clock = clock;
     this.out = out;
@@ -75,6 +78,7 @@
     this.membership = membership;
     this.reach = new Reach(clock, out, settings, view, membership);
     this.proofs = new Proofs(clock, settings, view);
+    this.overdue = new Overdue(clock, settings, view, proofs, cloud, horizon);
     this.placing = new Placing(clock, settings, view, agents, rounds);
     this.contact =
         new Contact(clock, out, settings, view, proofs, placing, rounds, this::heard);
@@ -172,6 +176,7 @@
         }
       }
     }
+    overdue.tick(membership);
     for (Part p : membership.parts()) {
       long claim = membership.owned(p);
       if (claim == 0) {
@@ -202,6 +207,9 @@
     // Also while its record cannot be written: in an outage of the state service a cut may end, and
     // the machine must not be taken for silent afterwards.
     contact.ask(a);
+    if (all) {
+      overdue.look(a, m);
+    }
     if (proofs.lease(a) || all) {
       settle(a, m, l);
       contact.urgent(a, m, l);
--- a/src/test/java/org/baygw/control/sim/Checker.java
+++ b/src/test/java/org/baygw/control/sim/Checker.java
@@ -191,6 +191,17 @@
     }
   }
 
+  /** Tasks whose lease ended while their machine hung: for a cancellation they are still there. */
+  private final Map<FakeWorker, Set<String>> stuck = new HashMap<>();
+
+  void stuck(FakeWorker w, String task) {
+    stuck.computeIfAbsent(w, k -> new HashSet<>()).add(job(task).id());
+  }
+
+  void unstuck(FakeWorker w) {
+    stuck.remove(w);
+  }
+
   void abortAsked(String id) {
     cancelAsked.add(id);
   }
@@ -232,7 +243,7 @@
       world.after(
           world.cancelMs,
           () -> {
-            if (tasksOn(id) > 0) {
+            if (tasksOn(id) > 0 || stuck.values().stream().anyMatch(s -> s.contains(id))) {
               breaks("ran_cancelled", id);
             }
           });
--- a/src/test/java/org/baygw/control/sim/FakeWorker.java
+++ b/src/test/java/org/baygw/control/sim/FakeWorker.java
@@ -67,6 +67,7 @@
 
   void gone() {
     dead = true;
+    world.checker.unstuck(this);
     List.copyOf(runs.values()).forEach(r -> leave(r));
     runs.clear();
   }
@@ -77,6 +78,7 @@
         ms,
         () -> {
           hung = false;
+          world.checker.unstuck(this);
           whileHung.forEach(Runnable::run);
           whileHung.clear();
         });
@@ -93,6 +95,9 @@
     long now = world.now();
     // A hanging machine goes on with its tasks within its lease only: after it they are over.
     if (now - answeredSent > world.leaseMs) {
+      if (hung) {
+        runs.values().stream().filter(Run::on).forEach(r -> world.checker.stuck(this, r.task));
+      }
       List.copyOf(runs.values()).forEach(this::leave);
       runs.clear();
       session++;
