--- a/src/main/java/org/baygw/control/Constants.java
+++ b/src/main/java/org/baygw/control/Constants.java
@@ -279,6 +279,15 @@
    */
   public static final double OVERDUE_SHARE = 0.5;
 
+  /**
+   * Share of that time taken to have passed at most for cancellations that were there when the copy was
+   * read: what is left until machines go is enough for workers to come back and show that tasks ended.
+   */
+  public static final double OVERDUE_UNSEEN_SHARE = 0.3;
+
+  /** The same for a part without a living owner, in an outage: an owner that is only slow goes first. */
+  public static final double OVERDUE_OWNERLESS_SHARE = 0.6;
+
   /** ms a granted task may wait in a part with no fitting machine before it goes back to the queue. */
   public static final long UNGRANT_MS = 4_000;
 
--- a/src/main/java/org/baygw/control/membership/CancellationHorizon.java
+++ b/src/main/java/org/baygw/control/membership/CancellationHorizon.java
@@ -18,12 +18,14 @@
   private static final Logger LOG = LoggerFactory.getLogger(CancellationHorizon.class);
 
   private final Clock clock;
+  private final Settings settings;
   private final Store store;
   private final Peers peers;
   private final long maxAgeMs;
 
   public CancellationHorizon(Clock clock, Settings settings, Store store, Peers peers) {
     this.clock = clock;
+    this.settings = settings;
     this.store = store;
     this.peers = peers;
     this.maxAgeMs = settings.workers().horizonMs();
@@ -35,6 +37,11 @@
     }
   }
 
+  /** The copy of the state service has all that was durable at this time. */
+  public long currentAsOf() {
+    return store.currentAsOf();
+  }
+
   /** Whether a worker's lease may be renewed now. */
   public boolean recent() {
     return clock.now() - knownUntil() <= maxAgeMs;
@@ -42,14 +49,40 @@
 
   /**
    * Whether another controller may have taken this one's claims over: the copy has not been current for
-   * a hold's life, and it is not an outage in which every sibling tells that it fares no better. An
-   * answer after a long silence is no reason yet: the copy may still lack the takeover.
+   * a hold's life, and it is not an outage as far as most controllers can tell. An answer after a long
+   * silence is no reason yet: the copy may still lack the takeover.
    */
   public boolean mayBeReplaced() {
-    long latest = clock.now() - Constants.HOLD_TTL_MS;
-    boolean outage =
-        store.lastContact() < latest && peers.vouchedUntil() >= latest && !peers.refusedAlone();
-    return store.currentAsOf() < latest && !outage;
+    return store.currentAsOf() < longAgo() && !outageForMost();
+  }
+
+  /**
+   * Whether the state service is out for this controller and most of the others, none of which fares
+   * better: then no claim changes hands.
+   */
+  public boolean outageForMost() {
+    int lives = 1;
+    for (Settings.Peer p : settings.peers()) {
+      lives += lives(p.label()) ? 1 : 0;
+    }
+    return store.lastContact() < longAgo() && !peers.refusedAlone()
+        && 2 * lives > settings.peers().size() + 1;
+  }
+
+  /**
+   * Whether a controller can be sure of its claims as far as this one can tell: it has lately told of
+   * itself, and the state service did not turn away from it alone before it was out for all.
+   */
+  public boolean acts(String label) {
+    return label.equals(settings.label()) || lives(label) && !peers.behind(label);
+  }
+
+  private boolean lives(String label) {
+    return peers.vouchedUntil(label) >= longAgo();
+  }
+
+  private long longAgo() {
+    return clock.now() - Constants.HOLD_TTL_MS;
   }
 
   private long knownUntil() {
--- a/src/main/java/org/baygw/control/membership/Peers.java
+++ b/src/main/java/org/baygw/control/membership/Peers.java
@@ -99,11 +99,16 @@
   long vouchedUntil() {
     long until = clock.now();
     for (Settings.Peer p : settings.peers()) {
-      until = Math.min(until, vouched.getOrDefault(p.label(), Long.MIN_VALUE / 2));
+      until = Math.min(until, vouchedUntil(p.label()));
     }
     return until;
   }
 
+  /** The same for one sibling. */
+  long vouchedUntil(String sibling) {
+    return vouched.getOrDefault(sibling, Long.MIN_VALUE / 2);
+  }
+
   /** Another controller's message; answered with our own. */
   public void receive(long request, byte[] body) {
     PeerStatus s = learn(body);
@@ -126,6 +131,12 @@
     return false;
   }
 
+  /** True if the state service answered this controller so much later than that sibling. */
+  boolean behind(String sibling) {
+    Seen s = seen.get(sibling);
+    return s != null && store.lastContact() - s.at() + s.stateAgeMs() > Constants.ALONE_MS;
+  }
+
   /** Takes a sibling's status in; null where it is none. */
   private PeerStatus learn(byte[] body) {
     try {
--- a/src/main/java/org/baygw/control/workers/Overdue.java
+++ b/src/main/java/org/baygw/control/workers/Overdue.java
@@ -1,7 +1,7 @@
 package org.baygw.control.workers;
 
-import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
@@ -22,38 +22,52 @@
  * The last step of a cancellation. A machine that hangs keeps its tasks whatever its lease says, and in
  * an outage of the state service nobody can make it durable that the machine is given up. So a part's
  * owner has the cloud take a machine back on which a cancelled task is still not proved gone after half
- * of the time; the record follows in the usual way, as for any machine that is silent.
+ * of the time; the record follows in the usual way, as for any machine that is silent. In an outage a
+ * part may have no owner that lives, and no other can take it: then the others do it, a little later.
  */
 final class Overdue {
   private static final Logger LOG = LoggerFactory.getLogger(Overdue.class);
 
   private final Clock clock;
   private final View view;
+  private final Membership membership;
   private final Proofs proofs;
   private final Cloud cloud;
   private final CancellationHorizon horizon;
-  private final long limitMs;
+  private final long cancelMs;
 
-  /** Since when a machine has had a task to be rid of, by machine and task. */
-  private final Map<String, Map<TaskId, Long>> since = new HashMap<>();
+  /**
+   * From when cancellations count: the copy was current before they were durable, so not earlier than
+   * that; and where it was not current for long, as after a start, some time is taken to have passed.
+   */
+  private final Map<String, Long> countsFrom = new HashMap<>();
+
+  private long seenStamp;
+  private long wasCurrent = Long.MIN_VALUE / 2;
+
+  /** Cancelled tasks that are not proved gone, by machine. */
+  private final Map<String, Set<TaskId>> pending = new HashMap<>();
 
   private final Set<String> due = new LinkedHashSet<>();
   private boolean returning;
   private long nextTry;
+  private long nextLook;
 
   Overdue(
       Clock clock,
       Settings settings,
       View view,
+      Membership membership,
       Proofs proofs,
       Cloud cloud,
       CancellationHorizon horizon) {
     this.clock = clock;
     this.view = view;
+    this.membership = membership;
     this.proofs = proofs;
     this.cloud = cloud;
     this.horizon = horizon;
-    this.limitMs = (long) (settings.workers().cancelS() * 1000 * Constants.OVERDUE_SHARE);
+    this.cancelMs = (long) (settings.workers().cancelS() * 1000);
   }
 
   /**
@@ -61,55 +75,98 @@
    * what went by the end of a lease may still be there while the machine hangs.
    */
   void look(Agent a, Machine m) {
-    Map<TaskId, Long> before = since.getOrDefault(m.name(), Map.of());
-    Set<TaskId> ended = a.leaseOver ? Set.of() : proofs.ends(a, m).keySet();
-    Map<TaskId, Long> cancelled = null;
+    Set<TaskId> before = pending.getOrDefault(m.name(), Set.of());
+    Set<TaskId> left = left(m, a.leaseOver ? Set.of() : proofs.ends(a, m).keySet());
+    if (a.leaseOver) {
+      left.addAll(before);
+    }
+    note(m, left, Constants.OVERDUE_SHARE);
+  }
+
+  private Set<TaskId> left(Machine m, Set<TaskId> ended) {
+    Set<TaskId> left = new HashSet<>();
     for (TaskId t : m.tasks().keySet()) {
       if (!view.runs(t.job()) && !ended.contains(t)) {
-        cancelled = cancelled == null ? new HashMap<>() : cancelled;
-        cancelled.put(t, before.getOrDefault(t, clock.now()));
+        left.add(t);
       }
     }
-    if (a.leaseOver && !before.isEmpty()) {
-      cancelled = cancelled == null ? new HashMap<>() : cancelled;
-      cancelled.putAll(before);
-    }
-    if (cancelled == null) {
-      since.remove(m.name());
+    return left;
+  }
+
+  private void note(Machine m, Set<TaskId> left, double share) {
+    if (left.isEmpty()) {
+      pending.remove(m.name());
       due.remove(m.name());
       return;
     }
-    since.put(m.name(), cancelled);
-    if (cancelled.values().stream().anyMatch(at -> clock.now() - at > limitMs)) {
-      due.add(m.name());
+    pending.put(m.name(), left);
+    for (TaskId t : left) {
+      long known = countsFrom.computeIfAbsent(t.job(), k -> clock.now());
+      if (clock.now() - known > cancelMs * share) {
+        due.add(m.name());
+      }
     }
   }
 
-  void tick(Membership membership) {
-    since
-        .keySet()
-        .removeIf(
-            m ->
-                !view.machines.containsKey(m)
-                    || membership.owned(view.machines.get(m).value().part()) == 0);
-    due.retainAll(since.keySet());
+  void tick() {
+    long now = clock.now();
+    long from = Math.max(wasCurrent, now - (long) (cancelMs * Constants.OVERDUE_UNSEEN_SHARE));
+    view.cancelledAfter(seenStamp)
+        .forEach(
+            (stamp, jobs) -> {
+              seenStamp = stamp;
+              jobs.forEach(j -> countsFrom.putIfAbsent(j, from));
+            });
+    wasCurrent = horizon.currentAsOf();
+    if (now >= nextLook) {
+      nextLook = now + Constants.LOOK_ALL_MS;
+      boolean outage = horizon.outageForMost();
+      pending.keySet().removeIf(m -> !owned(m) && !ownerless(m));
+      due.retainAll(pending.keySet());
+      Set<String> jobs = new HashSet<>();
+      pending.values().forEach(l -> l.forEach(t -> jobs.add(t.job())));
+      countsFrom.entrySet().removeIf(e -> now - e.getValue() > cancelMs && !jobs.contains(e.getKey()));
+      if (outage) {
+        for (View.Entry<Machine> e : view.machines.values()) {
+          Machine m = e.value();
+          if (!owned(m.name()) && ownerless(m.name())) {
+            note(m, left(m, Set.of()), Constants.OVERDUE_OWNERLESS_SHARE);
+          }
+        }
+      }
+    }
     // Another owner may have proved the tasks gone and put others there: then it is not ours to end.
-    if (due.isEmpty() || returning || clock.now() < nextTry || horizon.mayBeReplaced()) {
-      return;
+    if (!due.isEmpty() && !returning && now >= nextTry && !horizon.mayBeReplaced()) {
+      due.removeIf(m -> !owned(m) && !ownerless(m));
+      if (!due.isEmpty()) {
+        giveBack(List.copyOf(due).subList(0, Math.min(due.size(), Constants.MAX_RETURN)));
+      }
     }
-    List<String> names = new ArrayList<>(due);
-    names = names.subList(0, Math.min(names.size(), Constants.MAX_RETURN));
-    List<String> asked = names;
-    LOG.info("cancelled tasks are not proved gone: {} go back", asked);
+  }
+
+  private boolean owned(String machine) {
+    View.Entry<Machine> m = view.machines.get(machine);
+    return m != null && membership.owned(m.value().part()) != 0;
+  }
+
+  /** In an outage only: else another controller takes the part. */
+  private boolean ownerless(String machine) {
+    View.Entry<Machine> m = view.machines.get(machine);
+    String owner = m == null ? null : membership.owner(m.value().part());
+    return m != null && horizon.outageForMost() && (owner == null || !horizon.acts(owner));
+  }
+
+  private void giveBack(List<String> machines) {
+    LOG.info("cancelled tasks are not proved gone: {} go back", machines);
     returning = true;
     cloud.giveBack(
-        asked,
+        machines,
         ok -> {
           returning = false;
           nextTry = clock.now() + Constants.CLOUD_RETRY_MS;
           if (ok) {
-            asked.forEach(since::remove);
-            due.removeAll(asked);
+            machines.forEach(pending::remove);
+            due.removeAll(machines);
           }
         });
   }
--- a/src/main/java/org/baygw/control/workers/Workers.java
+++ b/src/main/java/org/baygw/control/workers/Workers.java
@@ -78,7 +78,7 @@
     this.membership = membership;
     this.reach = new Reach(clock, out, settings, view, membership);
     this.proofs = new Proofs(clock, settings, view);
-    this.overdue = new Overdue(clock, settings, view, proofs, cloud, horizon);
+    this.overdue = new Overdue(clock, settings, view, membership, proofs, cloud, horizon);
     this.placing = new Placing(clock, settings, view, agents, rounds);
     this.contact =
         new Contact(clock, out, settings, view, proofs, placing, rounds, this::heard);
@@ -176,7 +176,7 @@
         }
       }
     }
-    overdue.tick(membership);
+    overdue.tick();
     for (Part p : membership.parts()) {
       long claim = membership.owned(p);
       if (claim == 0) {
--- a/src/test/java/org/baygw/control/sim/Checker.java
+++ b/src/test/java/org/baygw/control/sim/Checker.java
@@ -128,6 +128,25 @@
   /** Once all troubles are over, a job about which nothing is answered for so long is forgotten. */
   static final long FORGOTTEN_MS = 75_000;
 
+  /** Nor may a job wait so long then while a machine that fits has room and its team is under its limit. */
+  static final long WAIT_MS = 90_000;
+
+  private final Map<String, Long> acceptedAt = new HashMap<>();
+
+  private boolean hasRoom(Submitted s) {
+    double used = milliCpus.getOrDefault(s.team(), 0L) / 1000.0;
+    for (Settings.Team t : world.teams) {
+      if (t.name().equals(s.team()) && used + s.cpus() > t.cpusMax()) {
+        return false;
+      }
+    }
+    return world.workers.values().stream()
+        .anyMatch(
+            w ->
+                w.freeCpus() >= s.cpus() && (!w.spot || s.spot())
+                    && (s.zone() == null || s.zone().equals(w.zone)));
+  }
+
   void over(long troublesEnd) {
     answeredAt.forEach(
         (id, at) -> {
@@ -135,6 +154,16 @@
             breaks("forgotten", id);
           }
         });
+    if (world.now() - troublesEnd < WAIT_MS) {
+      return;
+    }
+    for (Submitted s : jobs.values()) {
+      long since = acceptedAt.getOrDefault(s.id(), Long.MAX_VALUE);
+      boolean open = !begun.containsKey(s.id()) && !cancelAsked.contains(s.id());
+      if (open && world.now() - WAIT_MS > since && !s.spread() && !s.together() && hasRoom(s)) {
+        breaks("waited", s.id());
+      }
+    }
   }
 
   private void breaks(String rule, String what) {
@@ -224,6 +253,7 @@
       breaks("invented", id);
       return;
     }
+    acceptedAt.putIfAbsent(id, world.now());
     answeredAt.put(id, world.now());
     String now = body.path("status").asText();
     boolean wasFinal = "done".equals(before) || "cancelled".equals(before);
--- a/src/test/java/org/baygw/control/sim/FakeWorker.java
+++ b/src/test/java/org/baygw/control/sim/FakeWorker.java
@@ -84,6 +84,15 @@
         });
   }
 
+  /** CPUs that no task takes; none where the machine is gone. */
+  double freeCpus() {
+    double free = dead || sick ? 0 : 16;
+    for (Run r : runs.values()) {
+      free -= r.cause == null ? world.checker.job(r.task).cpus() : 0;
+    }
+    return free;
+  }
+
   Map<String, Run> runs() {
     return runs;
   }
--- a/src/test/java/org/baygw/control/sim/Scenario.java
+++ b/src/test/java/org/baygw/control/sim/Scenario.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.TreeMap;
 import org.baygw.control.config.Settings;
 import org.baygw.control.core.Json;
 import org.baygw.control.core.Outbox;
@@ -23,6 +24,9 @@
   private long seed = 1;
   private long end = 60_000;
   private World world;
+
+  /** Submissions, as they were sent. */
+  private final Map<String, byte[]> sent = new TreeMap<>();
   private boolean expectsBroken;
   private long troublesEnd;
 
@@ -208,8 +212,17 @@
       case "mute" -> names(w[3]).forEach(m -> world.mute(m, forMs));
       case "late-writes" -> world.state.lateWrites(Double.parseDouble(word(w, "share", "1")), forMs);
       case "cancel-now" -> cancelNow(w, seconds(word(w, "hang", "0")));
-      case "cancel-at-end" ->
-          world.checker.cancelAtEnd = id -> abort(id, null);
+      case "cancel-at-end" -> {
+        double share = Double.parseDouble(word(w, "share", "1"));
+        world.checker.cancelAtEnd =
+            id -> {
+              if (world.random.nextDouble() < share) {
+                abort(id, null);
+              }
+            };
+        world.after(forMs, () -> world.checker.cancelAtEnd = null);
+      }
+      case "odd-requests" -> odd(world.now() + forMs);
       case "cut-zone-workers" -> {
         // Cut off from the controllers of other zones; what its own controllers say still arrives.
         for (FakeWorker worker : world.workers.values()) {
@@ -247,7 +260,7 @@
 
   /** Calls off jobs that run, within a fifth of a second; their machines may hang. */
   private void cancelNow(String[] w, long hangMs) {
-    int left = Integer.parseInt(word(w, "count", "1"));
+    int left = Integer.parseInt(options(w, 3).getOrDefault("count", "1"));
     for (String id : world.checker.running()) {
       if (left-- > 0) {
         world.after(world.random.nextInt(200), () -> abort(id, null));
@@ -258,6 +271,48 @@
     }
   }
 
+  /** Repeats submissions, cancels what is done, sends what can never run or lacks a field. */
+  private void odd(long until) {
+    if (world.now() >= until) {
+      return;
+    }
+    List<String> ids = new ArrayList<>(sent.keySet());
+    if (!ids.isEmpty()) {
+      String id = ids.get(world.random.nextInt(ids.size()));
+      ask("POST", "/v1/jobs", sent.get(id), id, 0, i -> {});
+      if ("done".equals(world.checker.toldOf(id))) {
+        ask("POST", "/v1/jobs/" + id + "/abort", Json.bytes(Json.object()), id, 0, i -> {});
+      }
+      ObjectNode bad = (ObjectNode) Json.parse(sent.get(id));
+      String never = "run-odd" + world.now();
+      refused(bad.put("id", never).put("cores", 1_000.0), never, 422);
+      bad.put("cores", 1.0).remove("crew");
+      refused(bad.put("id", never + "x"), never + "x", 400);
+    }
+    world.after(500, () -> odd(until));
+  }
+
+  /** Sends a submission that is to be refused with this status, once the service can tell. */
+  private void refused(ObjectNode body, String id, int status) {
+    List<String> live = new ArrayList<>(world.liveLabels());
+    if (live.isEmpty()) {
+      return;
+    }
+    live.sort(null);
+    world.call(
+        "user",
+        live.get(world.random.nextInt(live.size())) + ":8080",
+        "POST",
+        "/v1/jobs",
+        Json.bytes(body),
+        5_000,
+        (s, answer) -> {
+          if (s > 0 && s != status && s != 503 && s != 429) {
+            failures.add("a submission to be refused with " + status + " was answered " + s);
+          }
+        });
+  }
+
   private List<String> names(String pattern) {
     if (pattern.equals("controllers")) {
       return world.labels;
@@ -310,6 +365,7 @@
     n.put("yard", s.zone()).put("together", s.together()).put("spread", s.spread());
     n.put("loaners", s.spot()).put("guessS", s.service() ? 0 : s.runMs() / 1000.0);
     n.put("stashEveryS", s.saves() ? 5.0 : 0.0).put("stashS", s.saves() ? 1.0 : 0.0);
+    sent.put(s.id(), Json.bytes(n));
     ask("POST", "/v1/jobs", Json.bytes(n), s.id(), 0, this::polls);
     if (o.containsKey("twice")) {
       ask("POST", "/v1/jobs", Json.bytes(n), s.id(), 0, id -> {});
--- a/src/test/java/org/baygw/control/sim/StormTest.java
+++ b/src/test/java/org/baygw/control/sim/StormTest.java
@@ -72,6 +72,77 @@
     return b.append("run 170\n").toString();
   }
 
+  /** Days on which the operators' troubles meet: two or three at about the same moment, six times. */
+  static String meetings(long seed) {
+    Random r = new Random(seed);
+    StringBuilder b = new StringBuilder("zones a b\n");
+    b.append("seed ").append(seed).append("\nset boot=6 capacity=10\n");
+    b.append("team red cpus=24 max=48\nteam blue cpus=16 max=32\n");
+    b.append("machines zone=a count=3\nmachines zone=b count=2\nmachines zone=a spot\n");
+    for (int i = 0; i < 26; i++) {
+      double at = 1 + r.nextDouble() * 100;
+      String kind =
+          switch (r.nextInt(6)) {
+            case 0 -> "service tasks=" + (1 + r.nextInt(4)) + (r.nextBoolean() ? " spread" : "");
+            case 1 -> "tasks=" + (1 + r.nextInt(6)) + " saves spot rank=best_effort run=25";
+            case 2 -> "tasks=" + (1 + r.nextInt(6)) + " together run=14";
+            case 3 -> "tasks=" + (1 + r.nextInt(3)) + " zone=" + (r.nextBoolean() ? "a" : "b") + " run=30";
+            case 4 -> "tasks=2 run=" + (1 + r.nextInt(60));
+            default -> "tasks=" + (1 + r.nextInt(10)) + " spot cpus=2 run=" + (1 + r.nextInt(20));
+          };
+      b.append(
+          String.format(
+              Locale.ROOT,
+              "at %.2f submit run-%d %s image=i%d team=%s%n",
+              at,
+              i,
+              kind,
+              r.nextInt(3),
+              r.nextBoolean() ? "red" : "blue"));
+      if (r.nextInt(4) == 0) {
+        b.append(String.format(Locale.ROOT, "at %.2f abort run-%d%n", at + r.nextDouble() * 40, i));
+      }
+    }
+    for (int i = 0; i < 6; i++) {
+      double start = 8 + r.nextDouble() * 90;
+      for (int k = 2 + r.nextInt(2); k > 0; k--) {
+        double at = start + r.nextDouble() * 3;
+        double span = 0.3 + r.nextDouble() * (r.nextInt(3) == 0 ? 45 : 15);
+        String c = CONTROLLERS[r.nextInt(3)];
+        String m = "n-00000" + (1 + r.nextInt(8));
+        String fault =
+            switch (r.nextInt(17)) {
+              case 0 -> "late-writes share 0.3";
+              case 1 -> "copies workers late 0";
+              case 2 -> "cut controllers " + m + " drop";
+              case 3 -> "apart " + c;
+              case 4 -> "cancel-now count=3 hang " + (r.nextInt(3) * 20);
+              case 5 -> "cancel-at-end share 0.5";
+              case 6 -> "mute " + m;
+              case 7 -> "odd-requests";
+              case 8, 9 -> "state-outage";
+              case 10, 11 -> "state-outage only " + c;
+              case 12 -> "crash-desk";
+              case 13 -> "crash " + c + " for 0.2\nat " + (at + 0.4) + " crash-desk";
+              // Longer than a lease; with nobody there nothing can be had of machines that hang.
+              case 14 -> "crash all for " + (1 + r.nextInt(14)) + "\nat " + at + " odd-requests";
+              case 15 -> "cut-zone-workers " + (r.nextBoolean() ? "a" : "b");
+              default -> "cut controllers " + m + " hold";
+            };
+        b.append(String.format(Locale.ROOT, "at %.2f %s for %.2f%n", at, fault, span));
+      }
+    }
+    return b.append("run 260\n").toString();
+  }
+
+  @ParameterizedTest
+  @ValueSource(longs = {1, 2, 3, 4, 5, 6})
+  void keepsTheRulesWhenTroublesMeet(long first) {
+    for (long seed = first * 1000; seed < first * 1000 + DAYS_PER_TEST; seed++) {
+      assertEquals(List.of(), Scenario.play(meetings(seed)), "day " + seed);
+    }
+  }
+
   @ParameterizedTest
   @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8})
   void keepsTheRules(long first) {
