--- a/src/main/java/org/baygw/control/jobs/Jobs.java
+++ b/src/main/java/org/baygw/control/jobs/Jobs.java
@@ -19,12 +19,16 @@
 import org.baygw.control.store.Store;
 import org.baygw.control.store.Txn;
 import org.baygw.control.store.View;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * The users' API, at every controller. Accepting and cancelling are conditional writes, answered after
  * the write; every other answer comes from a copy made current first, unless it is final.
  */
 public final class Jobs {
+  private static final Logger LOG = LoggerFactory.getLogger(Jobs.class);
+
   private static final String PATH = "/v1/jobs";
 
   private final Clock clock;
@@ -161,6 +165,7 @@
           } else if (view.jobs.containsKey(id)) {
             answer(request, id);
           } else {
+            LOG.info("refused {} with {}: {}", id, status, why);
             error(request, status, why);
           }
         });
--- a/src/main/java/org/baygw/control/store/View.java
+++ b/src/main/java/org/baygw/control/store/View.java
@@ -159,6 +159,12 @@
     return j != null && j.value().open() && !toldCancelled.containsKey(job);
   }
 
+  public boolean cancelled(String job) {
+    Entry<Job> j = jobs.get(job);
+    return toldCancelled.containsKey(job)
+        || j != null && j.value().state() == Job.State.CANCELLED;
+  }
+
   /** A sibling told of a cancellation that became durable at this revision. */
   public void toldCancelled(String job, long stamp) {
     if (stamp > revision && toldCancelled.putIfAbsent(job, stamp) == null) {
--- a/src/main/java/org/baygw/control/workers/Overdue.java
+++ b/src/main/java/org/baygw/control/workers/Overdue.java
@@ -70,17 +70,9 @@
     this.cancelMs = (long) (settings.workers().cancelS() * 1000);
   }
 
-  /**
-   * Looks at one of this controller's machines. In an outage what is proved gone stays on record; and
-   * what went by the end of a lease may still be there while the machine hangs.
-   */
+  /** Looks at one of this controller's machines. In an outage what is proved gone stays on record. */
   void look(Agent a, Machine m) {
-    Set<TaskId> before = pending.getOrDefault(m.name(), Set.of());
-    Set<TaskId> left = left(m, a.leaseOver ? Set.of() : proofs.ends(a, m).keySet());
-    if (a.leaseOver) {
-      left.addAll(before);
-    }
-    note(m, left, Constants.OVERDUE_SHARE);
+    note(m, left(m, proofs.ends(a, m).keySet()), Constants.OVERDUE_SHARE);
   }
 
   private Set<TaskId> left(Machine m, Set<TaskId> ended) {
--- a/src/main/java/org/baygw/control/workers/Proofs.java
+++ b/src/main/java/org/baygw/control/workers/Proofs.java
@@ -76,7 +76,11 @@
     boolean absent =
         a.trusted() && (s == null || s.state() == WorkerCodec.State.ENDED)
             && !a.flights.containsKey(t);
-    return absent && (a.leaseOver || !wanted(t, attempt, m)) ? End.BACK : null;
+    // A machine that hangs keeps its tasks whatever its lease says: where the job was cancelled the task
+    // stays on record until the machine is heard of or returned, or the next owner would not know of it.
+    return absent && (a.leaseOver ? !view.cancelled(t.job()) : !wanted(t, attempt, m))
+        ? End.BACK
+        : null;
   }
 
   /** Whether the task is to run on under this attempt. */
