--- a/src/main/java/org/baygw/control/config/Settings.java
+++ b/src/main/java/org/baygw/control/config/Settings.java
@@ -27,7 +27,21 @@
   public record Peer(String label, String zone, String addr) {}
 
   /** A team's guarantee and limit. */
-  public record Team(String name, double cpus, double cpusMax, double gpus, double gpusMax) {}
+  public record Team(String name, double cpus, double cpusMax, double gpus, double gpusMax) {
+    /**
+     * A team for which the platform names no limit at all, as a guest, has none: a limit of nothing
+     * would be a team whose every job can never run.
+     */
+    public static Team of(String name, double cpus, double cpusMax, double gpus, double gpusMax) {
+      boolean none = cpusMax == 0 && gpusMax == 0;
+      return new Team(
+          name,
+          cpus,
+          none ? Double.POSITIVE_INFINITY : cpusMax,
+          gpus,
+          none ? Double.POSITIVE_INFINITY : gpusMax);
+    }
+  }
 
   /**
    * What is expected for a class of jobs: finished within so many seconds, or within so many times
--- a/src/main/java/org/baygw/control/config/SettingsReader.java
+++ b/src/main/java/org/baygw/control/config/SettingsReader.java
@@ -67,7 +67,7 @@
         throw new BadSettings("settings.teams.name: '" + name + "' stands twice");
       }
       teams.add(
-          new Settings.Team(
+          Settings.Team.of(
               name,
               number(n, "cpus", "settings.teams.", 0),
               number(n, "cpus_max", "settings.teams.", 0),
--- a/src/test/java/org/baygw/control/config/SettingsReaderTest.java
+++ b/src/test/java/org/baygw/control/config/SettingsReaderTest.java
@@ -27,6 +27,14 @@
     assertEquals(0.0, s.team("team").gpusMax());
   }
 
+  @Test
+  void aTeamForWhichNoLimitIsNamedHasNone() throws Exception {
+    Settings.Team guest =
+        SettingsReader.parse(good().replace("cpus_max = 8.0", "cpus_max = 0.0")).team("team");
+    assertEquals(Double.POSITIVE_INFINITY, guest.cpusMax());
+    assertEquals(Double.POSITIVE_INFINITY, guest.gpusMax());
+  }
+
   @ParameterizedTest
   @CsvSource(
       delimiter = '|',
--- a/src/test/java/org/baygw/control/sim/Scenario.java
+++ b/src/test/java/org/baygw/control/sim/Scenario.java
@@ -54,10 +54,10 @@
       case "team" -> {
         Map<String, String> o = options(w, 2);
         teams.add(
-            new Settings.Team(
+            Settings.Team.of(
                 w[1],
                 Double.parseDouble(o.getOrDefault("cpus", "0")),
-                Double.parseDouble(o.get("max")),
+                Double.parseDouble(o.getOrDefault("max", "0")),
                 0,
                 0));
       }
