--- a/src/main/java/org/baygw/control/workers/Workers.java
+++ b/src/main/java/org/baygw/control/workers/Workers.java
@@ -223,8 +223,10 @@
       return m.condition();
     } else if (a.sick) {
       return Machine.Condition.SICK;
-    } else if (contact.silent(a) && (a.deaf() || reach.sure())) {
-      return Machine.Condition.SILENT;
+    } else if (contact.silent(a)) {
+      // Where nobody else was heard lately that says nothing new; but what is silent stays so until it is
+      // heard, or the desk would count its silence from the start again and again.
+      return a.deaf() || reach.sure() ? Machine.Condition.SILENT : m.condition();
     } else if (a.noticeUntil > 0 || view.cordons.contains(m.name())) {
       return Machine.Condition.LEAVING;
     }
