--- a/src/test/java/org/baygw/control/sim/StormTest.java
+++ b/src/test/java/org/baygw/control/sim/StormTest.java
@@ -13,12 +13,33 @@
   private static final String[] CONTROLLERS = {"yurt-0", "yurt-1", "yurt-2"};
   private static final int DAYS_PER_TEST = 12;
 
-  private static String day(long seed) {
-    Random r = new Random(seed);
+  private static StringBuilder setUp(long seed, int capacity) {
     StringBuilder b = new StringBuilder("zones a b\n");
-    b.append("seed ").append(seed).append("\nset boot=6 capacity=9\n");
+    b.append("seed ").append(seed).append("\nset boot=6 capacity=").append(capacity).append("\n");
     b.append("team red cpus=24 max=48\nteam blue cpus=16 max=32\n");
-    b.append("machines zone=a count=3\nmachines zone=b count=2\nmachines zone=a spot\n");
+    return b.append("machines zone=a count=3\nmachines zone=b count=2\nmachines zone=a spot\n");
+  }
+
+  /** A job's submission; one in so many is called off within so many seconds. */
+  private static String submission(
+      Random r, double at, int i, String kind, int oneIn, double within) {
+    String line =
+        String.format(
+            Locale.ROOT,
+            "at %.2f submit run-%d %s image=i%d team=%s%n",
+            at,
+            i,
+            kind,
+            r.nextInt(3),
+            r.nextBoolean() ? "red" : "blue");
+    return r.nextInt(oneIn) == 0
+        ? line + String.format(Locale.ROOT, "at %.2f abort run-%d%n", at + r.nextDouble() * within, i)
+        : line;
+  }
+
+  private static String day(long seed) {
+    Random r = new Random(seed);
+    StringBuilder b = setUp(seed, 9);
     for (int i = 0; i < 22; i++) {
       double at = 1 + r.nextDouble() * 75;
       String kind =
@@ -28,18 +49,7 @@
             case 2 -> "tasks=" + (1 + r.nextInt(6)) + " together run=4";
             default -> "tasks=" + (1 + r.nextInt(12)) + " spot cpus=2 run=" + (1 + r.nextInt(9));
           };
-      b.append(
-          String.format(
-              Locale.ROOT,
-              "at %.2f submit run-%d %s image=i%d team=%s%n",
-              at,
-              i,
-              kind,
-              r.nextInt(3),
-              r.nextBoolean() ? "red" : "blue"));
-      if (r.nextInt(3) == 0) {
-        b.append(String.format(Locale.ROOT, "at %.2f abort run-%d%n", at + r.nextDouble() * 20, i));
-      }
+      b.append(submission(r, at, i, kind, 3, 20));
     }
     for (int i = 0; i < 26; i++) {
       double at = 2 + r.nextDouble() * 75;
@@ -75,10 +85,7 @@
   /** Days on which the operators' troubles meet: two or three at about the same moment, six times. */
   static String meetings(long seed) {
     Random r = new Random(seed);
-    StringBuilder b = new StringBuilder("zones a b\n");
-    b.append("seed ").append(seed).append("\nset boot=6 capacity=10\n");
-    b.append("team red cpus=24 max=48\nteam blue cpus=16 max=32\n");
-    b.append("machines zone=a count=3\nmachines zone=b count=2\nmachines zone=a spot\n");
+    StringBuilder b = setUp(seed, 10);
     for (int i = 0; i < 26; i++) {
       double at = 1 + r.nextDouble() * 100;
       String kind =
@@ -90,18 +97,7 @@
             case 4 -> "tasks=2 run=" + (1 + r.nextInt(60));
             default -> "tasks=" + (1 + r.nextInt(10)) + " spot cpus=2 run=" + (1 + r.nextInt(20));
           };
-      b.append(
-          String.format(
-              Locale.ROOT,
-              "at %.2f submit run-%d %s image=i%d team=%s%n",
-              at,
-              i,
-              kind,
-              r.nextInt(3),
-              r.nextBoolean() ? "red" : "blue"));
-      if (r.nextInt(4) == 0) {
-        b.append(String.format(Locale.ROOT, "at %.2f abort run-%d%n", at + r.nextDouble() * 40, i));
-      }
+      b.append(submission(r, at, i, kind, 4, 40));
     }
     for (int i = 0; i < 6; i++) {
       double start = 8 + r.nextDouble() * 90;
