--- a/src/main/java/org/baygw/control/Constants.java
+++ b/src/main/java/org/baygw/control/Constants.java
@@ -306,6 +306,9 @@
   /** ms between the desk's passes over the queue. */
   public static final long DESK_PASS_MS = 100;
 
+  /** ms added to that while nothing has changed: only waiting times grow meanwhile. */
+  public static final long DESK_IDLE_PASS_MS = 1_000;
+
   /** ms added to that for each machine: a pass looks at each, and may not take most of a processor. */
   public static final double DESK_PASS_MS_A_MACHINE = 0.2;
 
--- a/src/main/java/org/baygw/control/Controller.java
+++ b/src/main/java/org/baygw/control/Controller.java
@@ -12,7 +12,7 @@
 import org.baygw.control.membership.CancellationHorizon;
 import org.baygw.control.membership.Membership;
 import org.baygw.control.membership.Peers;
-import org.baygw.control.quota.Desk;
+import org.baygw.control.quota.Scheduler;
 import org.baygw.control.store.Store;
 import org.baygw.control.store.View;
 import org.baygw.control.workers.Workers;
@@ -30,7 +30,7 @@
   private final Peers peers;
   private final Jobs jobs;
   private final Workers workers;
-  private final Desk desk;
+  private final Scheduler scheduler;
   private final Cloud cloud;
   private final Fleet fleet;
   private final Admin admin;
@@ -43,10 +43,10 @@
     this.cloud = new Cloud(clock, out, settings);
     CancellationHorizon horizon = new CancellationHorizon(clock, settings, store, peers);
     this.workers = new Workers(clock, out, settings, store, view, membership, horizon, cloud);
-    this.desk = new Desk(clock, settings, store, view, membership);
-    this.fleet = new Fleet(clock, settings, store, view, membership, cloud, desk);
+    this.scheduler = new Scheduler(clock, settings, store, view, membership);
+    this.fleet = new Fleet(clock, settings, store, view, membership, cloud, scheduler);
     this.admin =
-        new Admin(clock, out, settings, store, view, membership, workers, desk);
+        new Admin(clock, out, settings, store, view, membership, workers, scheduler);
   }
 
   /** A request on the users' and workers' side. */
@@ -97,7 +97,7 @@
     store.tick();
     membership.tick();
     peers.tick();
-    desk.tick();
+    scheduler.tick();
     workers.tick();
     workers.round();
     fleet.tick();
--- a/src/main/java/org/baygw/control/admin/Admin.java
+++ b/src/main/java/org/baygw/control/admin/Admin.java
@@ -16,7 +16,7 @@
 import org.baygw.control.model.Machine;
 import org.baygw.control.model.Params;
 import org.baygw.control.model.Part;
-import org.baygw.control.quota.Desk;
+import org.baygw.control.quota.Scheduler;
 import org.baygw.control.store.Keys;
 import org.baygw.control.store.Store;
 import org.baygw.control.store.Txn;
@@ -34,7 +34,7 @@
   private final View view;
   private final Membership membership;
   private final Workers workers;
-  private final Desk desk;
+  private final Scheduler scheduler;
   private Meters meters;
 
   public Admin(
@@ -45,7 +45,7 @@
       View view,
       Membership membership,
       Workers workers,
-      Desk desk) {
+      Scheduler scheduler) {
     this.clock = clock;
     this.out = out;
     this.settings = settings;
@@ -53,7 +53,7 @@
     this.view = view;
     this.membership = membership;
     this.workers = workers;
-    this.desk = desk;
+    this.scheduler = scheduler;
   }
 
   /** Handles a request if it is one of ours. */
@@ -210,7 +210,7 @@
       meters.gauge("baygw.revision", "Revision the copy has reached", view, View::revision);
       meters.gauge("baygw.machines", "Machines on record", view, v -> v.machines.size());
       meters.gauge("baygw.jobs", "Jobs on record", view, v -> v.jobs.size());
-      meters.gauge("baygw.unmet", "Tasks without room, at the desk", desk, Desk::unmetTasks);
+      meters.gauge("baygw.unmet", "Tasks without room, at the leader", scheduler, Scheduler::unmetTasks);
       meters.counter("baygw.rounds", "Rounds searched", workers, w -> w.rounds().searched());
       meters.counter("baygw.rounds.better", "Rounds that improved", workers, w -> w.rounds().found());
       meters.counter("baygw.moves", "Moves planned", workers, w -> w.rounds().planned());
--- a/src/main/java/org/baygw/control/fleet/Fleet.java
+++ b/src/main/java/org/baygw/control/fleet/Fleet.java
@@ -22,7 +22,8 @@
 import org.baygw.control.model.Records;
 import org.baygw.control.model.TaskId;
 import org.baygw.control.placement.Room;
-import org.baygw.control.quota.Desk;
+import org.baygw.control.quota.Scheduler;
+import org.baygw.control.quota.UnmetDemand;
 import org.baygw.control.store.Keys;
 import org.baygw.control.store.Store;
 import org.baygw.control.store.Txn;
@@ -64,7 +65,7 @@
   private final View view;
   private final Membership membership;
   private final Cloud cloud;
-  private final Desk desk;
+  private final Scheduler scheduler;
 
   private long claim;
   private Map<String, Cloud.Listed> listed = new LinkedHashMap<>();
@@ -114,14 +115,14 @@
       View view,
       Membership membership,
       Cloud cloud,
-      Desk desk) {
+      Scheduler scheduler) {
     this.clock = clock;
     this.settings = settings;
     this.store = store;
     this.view = view;
     this.membership = membership;
     this.cloud = cloud;
-    this.desk = desk;
+    this.scheduler = scheduler;
   }
 
   public void tick() {
@@ -151,7 +152,7 @@
       nextTypes = now;
     }
     readings(now);
-    if (now >= nextPlan && listedAt > 0 && desk.unmetIsCurrent()) {
+    if (now >= nextPlan && listedAt > 0 && scheduler.unmetIsCurrent()) {
       nextPlan = now + Constants.FLEET_PLAN_MS;
       plan(now);
     }
@@ -338,7 +339,7 @@
       }
     }
     Map<Kind, Integer> wanted = new LinkedHashMap<>();
-    for (Desk.Unmet u : desk.unmet()) {
+    for (UnmetDemand u : scheduler.unmet()) {
       int left = u.count();
       for (Room r : rooms) {
         if (left > 0 && (u.zone() == null || u.zone().equals(r.machine().zone()))) {
@@ -368,7 +369,7 @@
   }
 
   /** The cheapest kind that is allowed and not refused just now, spread over the zones. */
-  private Kind choose(Desk.Unmet u, Map<Kind, Integer> wanted) {
+  private Kind choose(UnmetDemand u, Map<Kind, Integer> wanted) {
     JobSpec s = u.spec();
     Kind best = null;
     double bestPrice = 0;
@@ -499,7 +500,7 @@
       return false;
     }
     Room empty = Room.empty(m.name(), type, m.zone(), m.spot());
-    return desk.unmet().stream()
+    return scheduler.unmet().stream()
         .anyMatch(u -> (u.zone() == null || u.zone().equals(m.zone())) && empty.fits(u.spec()));
   }
 
--- /dev/null
+++ b/src/main/java/org/baygw/control/quota/ProgressFolding.java
@@ -0,0 +1,83 @@
+package org.baygw.control.quota;
+
+import java.util.LinkedHashSet;
+import java.util.Set;
+import java.util.TreeMap;
+import org.baygw.control.Constants;
+import org.baygw.control.config.Settings;
+import org.baygw.control.membership.Membership;
+import org.baygw.control.model.Part;
+import org.baygw.control.model.Progress;
+import org.baygw.control.model.Records;
+import org.baygw.control.model.Roster;
+import org.baygw.control.store.Keys;
+import org.baygw.control.store.Store;
+import org.baygw.control.store.Txn;
+import org.baygw.control.store.View;
+
+/**
+ * Takes ended tasks over into their jobs' progress where a partition's record grows large. Elsewhere
+ * that costs no write: it comes with the job's next grant, or the job is done first.
+ */
+final class ProgressFolding {
+  private final Settings settings;
+  private final View view;
+  private final Membership membership;
+  private final JobWrites writes;
+  private final int limitBytes;
+
+  ProgressFolding(Settings settings, View view, Membership membership, JobWrites writes) {
+    this.settings = settings;
+    this.view = view;
+    this.membership = membership;
+    this.writes = writes;
+    this.limitBytes = (int) (settings.state().valueKb() * 1024 * Constants.ROSTER_ENDED);
+  }
+
+  void run() {
+    for (String job : jobsInLargeRecords()) {
+      TreeMap<Integer, View.Entry<Progress>> chunks = view.progress.get(job);
+      boolean due =
+          view.jobs.containsKey(job) && chunks != null && !writes.busy(job)
+              && writes.count() <= Constants.FOLDS;
+      if (due) {
+        Txn txn = fold(job, chunks);
+        if (txn.writes() > 0) {
+          writes.write(job, Store.Urgency.GRANT, txn);
+        }
+      }
+    }
+  }
+
+  private Set<String> jobsInLargeRecords() {
+    Set<String> jobs = new LinkedHashSet<>();
+    for (Part part : membership.parts()) {
+      for (int i = 0; i < view.pages(part); i++) {
+        Roster page = view.roster(part, i);
+        if (page.endedSize() > limitBytes) {
+          jobs.addAll(page.done().keySet());
+          jobs.addAll(page.back().keySet());
+        }
+      }
+    }
+    return jobs;
+  }
+
+  private Txn fold(String job, TreeMap<Integer, View.Entry<Progress>> chunks) {
+    Txn txn = new Txn().when(Keys.claim(Keys.DESK), membership.desk());
+    chunks.forEach(
+        (chunk, entry) -> {
+          Progress written = view.written(job, chunk);
+          if (written != null && differs(written, entry.value())
+              && txn.writes() < settings.state().txnOps()) {
+            String key = Keys.progress(job, chunk);
+            txn.when(key, view.stamp(key)).put(key, Records.progress(entry.value()));
+          }
+        });
+    return txn;
+  }
+
+  private static boolean differs(Progress written, Progress now) {
+    return written.live.size() != now.live.size() || !written.done.equals(now.done);
+  }
+}
--- /dev/null
+++ b/src/main/java/org/baygw/control/quota/Scheduler.java
@@ -0,0 +1,380 @@
+package org.baygw.control.quota;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import org.baygw.control.Constants;
+import org.baygw.control.config.Settings;
+import org.baygw.control.core.Clock;
+import org.baygw.control.membership.Membership;
+import org.baygw.control.model.Job;
+import org.baygw.control.model.JobSpec;
+import org.baygw.control.model.Part;
+import org.baygw.control.model.Progress;
+import org.baygw.control.model.Records;
+import org.baygw.control.model.TaskId;
+import org.baygw.control.placement.Rooms;
+import org.baygw.control.store.Keys;
+import org.baygw.control.store.Store;
+import org.baygw.control.store.Txn;
+import org.baygw.control.store.View;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * The leader's scheduler: the queue of jobs. It grants tasks to partitions by durable writes; a granted
+ * task counts against its team until its partition's owner has proved it gone.
+ */
+public final class Scheduler {
+  private static final Logger LOG = LoggerFactory.getLogger(Scheduler.class);
+
+  private final Clock clock;
+  private final Settings settings;
+  private final Store store;
+  private final View view;
+  private final Membership membership;
+  private final ZoneRules zones;
+  private final Rooms rooms;
+  private final JobWrites writes;
+  private final PartitionAvoidance avoidance;
+  private final ProgressFolding folding;
+  private final Preemption preemption;
+
+  /** When this scheduler granted what is live; a former one's grants count as old. */
+  private final Map<TaskId, Long> grantedAt = new HashMap<>();
+
+  /** Since when a job has had tasks without room. */
+  private final Map<String, Long> unmetSince = new HashMap<>();
+
+  private List<UnmetDemand> unmet = List.of();
+  private long nextPass;
+  private long nextClean;
+  private long seenChanges = -1;
+
+  public Scheduler(
+      Clock clock, Settings settings, Store store, View view, Membership membership) {
+    this.clock = clock;
+    this.settings = settings;
+    this.store = store;
+    this.view = view;
+    this.membership = membership;
+    this.zones = new ZoneRules(settings.zones());
+    this.rooms = new Rooms(view);
+    this.writes = new JobWrites(store, this::passSoon);
+    this.avoidance = new PartitionAvoidance(clock, view, membership);
+    this.folding = new ProgressFolding(settings, view, membership, writes);
+    this.preemption =
+        new Preemption(settings, view, membership, rooms, writes, this::grantAgeS);
+  }
+
+  /** Tasks that need machines which are not there. */
+  public List<UnmetDemand> unmet() {
+    return unmet;
+  }
+
+  /**
+   * Whether nothing has changed since the pass that found them. Between a change and the next pass a
+   * machine that has just come up would count neither as on its way nor as one that has room.
+   */
+  public boolean unmetIsCurrent() {
+    return seenChanges == view.changes();
+  }
+
+  public int unmetTasks() {
+    return unmet.stream().mapToInt(UnmetDemand::count).sum();
+  }
+
+  /** Time has passed, or something has changed. */
+  public void tick() {
+    long now = clock.now();
+    if (!store.loaded() || membership.desk() == 0) {
+      unmet = List.of();
+      return;
+    }
+    if (now < nextPass || unmetIsCurrent() && now < nextPass + Constants.DESK_IDLE_PASS_MS) {
+      return;
+    }
+    // A pass looks at all machines, so what passes cost a second must not grow with them.
+    long large = (long) (view.machines.size() * Constants.DESK_PASS_MS_A_MACHINE);
+    nextPass = now + large + (store.scarce() ? Constants.DESK_SCARCE_MS : Constants.DESK_PASS_MS);
+    seenChanges = view.changes();
+    new Pass().run();
+  }
+
+  private void passSoon() {
+    nextPass = 0;
+    seenChanges = -1;
+  }
+
+  private double grantAgeS(TaskId task) {
+    Long at = grantedAt.get(task);
+    return at == null ? Double.POSITIVE_INFINITY : (clock.now() - at) / 1000.0;
+  }
+
+  /** One pass over all unfinished jobs. */
+  private final class Pass {
+    private final TeamUsage usage = new TeamUsage(settings.teams());
+
+    /** CPUs that each team's unfinished jobs ask for, up to the job that is looked at. */
+    private final Map<String, Double> demand = new HashMap<>();
+
+    /** Unfinished jobs that fit into their team's guarantee together with its earlier ones. */
+    private final Set<String> guaranteed = new HashSet<>();
+
+    private final List<QueuedJob> queue = new ArrayList<>();
+
+    /** Shapes of tasks that found no room in this pass. */
+    private final Set<String> full = new HashSet<>();
+
+    private final List<UnmetDemand> left = new ArrayList<>();
+    private FreeCapacity free;
+
+    void run() {
+      List<View.Entry<Job>> jobs = new ArrayList<>(view.active.values());
+      jobs.sort(
+          Comparator.comparing((View.Entry<Job> job) -> job.value().acceptedMs())
+              .thenComparing(job -> job.value().spec().id()));
+      jobs.forEach(this::add);
+      folding.run();
+      avoidance.update();
+      queue.sort(QueuedJob.ORDER);
+      free = new FreeCapacity(settings, view, membership, rooms, writes, zones);
+      queue.forEach(this::serve);
+      forgetOld();
+      preemption.run(left, usage, guaranteed);
+      unmet = left;
+    }
+
+    /** Counts what a job has, and queues it if tasks of it wait. */
+    private void add(View.Entry<Job> entry) {
+      Job job = entry.value();
+      JobSpec spec = job.spec();
+      TreeMap<Integer, View.Entry<Progress>> chunks =
+          view.progress.getOrDefault(spec.id(), new TreeMap<>());
+      int live = 0;
+      int done = 0;
+      int[] zoneLive = zones.none();
+      for (View.Entry<Progress> chunk : chunks.values()) {
+        live += chunk.value().live.size();
+        done += chunk.value().done.cardinality();
+        if (spec.spread() || spec.oneZone()) {
+          zones.count(chunk.value(), zoneLive);
+        }
+      }
+      usage.add(spec, live + writes.granting(spec.id()));
+      boolean busy = writes.busy(spec.id());
+      if (!job.open()) {
+        if (live == 0 && !chunks.isEmpty() && !busy) {
+          clean(spec.id(), chunks);
+        }
+      } else if (done == spec.tasks()) {
+        if (!busy) {
+          finish(spec.id(), entry);
+        }
+      } else if (settings.team(spec.team()) != null) {
+        noteGuarantee(spec, done);
+        if (done + live < spec.tasks() && !busy) {
+          queue.add(queued(entry, live, done, zoneLive));
+        }
+      }
+    }
+
+    private void noteGuarantee(JobSpec spec, int done) {
+      double sum = demand.merge(spec.team(), (spec.tasks() - done) * spec.cpus(), Double::sum);
+      if (sum <= settings.team(spec.team()).cpus() + Constants.EPS) {
+        guaranteed.add(spec.id());
+      }
+    }
+
+    private QueuedJob queued(View.Entry<Job> entry, int live, int done, int[] zoneLive) {
+      Job job = entry.value();
+      JobSpec spec = job.spec();
+      return new QueuedJob(
+          spec.id(),
+          spec,
+          job.acceptedMs(),
+          entry.stamp(),
+          guaranteed.contains(spec.id()),
+          live + done == 0 ? clock.wall() - job.acceptedMs() : 0,
+          missedAims(job),
+          (spec.tasks() - done) * spec.cpus() * spec.estimateS(),
+          spec.tasks() - done - live,
+          zoneLive);
+    }
+
+    /** Grants as many of a job's tasks as its team's limit and the room allow. */
+    private void serve(QueuedJob job) {
+      JobSpec spec = job.spec();
+      int allowed = usage.allowed(settings.team(spec.team()), spec, job.pending());
+      if (allowed <= 0) {
+        return;
+      }
+      int[] zoneLive = job.zoneLive().clone();
+      String shape = shape(spec, zones.only(spec, zoneLive));
+      Grants grants = new Grants(job, zoneLive, allowed);
+      boolean noRoom = full.contains(shape) || !grants.fill(free);
+      if (noRoom && !spec.service() && !spec.spread() && !spec.oneZone()) {
+        full.add(shape);
+      }
+      usage.add(spec, grants.count);
+      if (noRoom && grants.count < allowed) {
+        long waitedMs = noteUnmet(job, allowed - grants.count, zoneLive);
+        if (waitedMs < Constants.LIMIT_RESERVED_MS) {
+          usage.add(spec, allowed - grants.count); // what is rented for must also be allowed to run
+        }
+      }
+      if (grants.count > 0) {
+        grants.write();
+      }
+    }
+
+    /** Notes tasks that found no room; returns for how long the job has had such tasks. */
+    private long noteUnmet(QueuedJob job, int count, int[] zoneLive) {
+      JobSpec spec = job.spec();
+      long waitedMs = clock.now() - unmetSince.computeIfAbsent(job.id(), k -> clock.now());
+      if (!spec.spread() && !spec.oneZone()) {
+        left.add(new UnmetDemand(spec, spec.zone(), job.reclaims(), count, waitedMs));
+        return waitedMs;
+      }
+      Map<String, Integer> byZone = new LinkedHashMap<>();
+      for (int i = 0; i < count; i++) {
+        byZone.merge(zones.zoneFor(spec, zoneLive), 1, Integer::sum);
+      }
+      byZone.forEach(
+          (zone, n) -> left.add(new UnmetDemand(spec, zone, job.reclaims(), n, waitedMs)));
+      return waitedMs;
+    }
+
+    private void forgetOld() {
+      if (clock.now() >= nextClean) {
+        nextClean = clock.now() + Constants.DESK_CLEAN_MS;
+        grantedAt
+            .keySet()
+            .removeIf(task -> view.grant(task) == null && !writes.busy(task.job()));
+      }
+      Set<String> ids = new HashSet<>();
+      left.forEach(demand -> ids.add(demand.spec().id()));
+      unmetSince.keySet().retainAll(ids);
+    }
+  }
+
+  /** The tasks of one job that one pass grants. */
+  private final class Grants {
+    private final QueuedJob job;
+    private final int[] zoneLive;
+    private final int allowed;
+    private final Map<Integer, Progress> next = new LinkedHashMap<>();
+    private final Map<Part, Integer> partitions = new HashMap<>();
+    private int count;
+
+    Grants(QueuedJob job, int[] zoneLive, int allowed) {
+      this.job = job;
+      this.zoneLive = zoneLive;
+      this.allowed = allowed;
+    }
+
+    /** Grants what there is room for; false if that ran out. */
+    boolean fill(FreeCapacity free) {
+      JobSpec spec = job.spec();
+      FreeCapacity.Place place = null;
+      for (int chunk = 0; chunk * Constants.CHUNK_TASKS < spec.tasks(); chunk++) {
+        if (next.size() >= settings.state().txnOps() / 2) {
+          return true;
+        }
+        Progress now = view.progress(job.id(), chunk);
+        int end = Math.min(spec.tasks(), (chunk + 1) * Constants.CHUNK_TASKS);
+        for (int i = chunk * Constants.CHUNK_TASKS; i < end; i++) {
+          if (now != null && (now.done.get(i) || now.live.containsKey(i))) {
+            continue;
+          }
+          if (count >= allowed) {
+            return true;
+          }
+          boolean again =
+              place != null && !spec.service() && !spec.spread() && place.room().fits(spec);
+          place = again ? place : free.roomiest(spec, zoneLive, avoidance.of(job.id()));
+          if (place == null) {
+            return false;
+          }
+          add(chunk, now, i, place);
+        }
+      }
+      return true;
+    }
+
+    private void add(int chunk, Progress now, int index, FreeCapacity.Place place) {
+      place.room().take(job.spec());
+      next.computeIfAbsent(chunk, k -> now == null ? new Progress() : now.copy())
+          .grant(index, place.part());
+      partitions.merge(place.part(), 1, Integer::sum);
+      grantedAt.put(new TaskId(job.id(), index), clock.now());
+      zoneLive[zones.index(place.part().zone())]++;
+      count++;
+    }
+
+    void write() {
+      Txn txn =
+          new Txn()
+              .when(Keys.claim(Keys.DESK), membership.desk())
+              .when(Keys.job(job.id()), job.stamp());
+      next.forEach(
+          (chunk, progress) -> {
+            String key = Keys.progress(job.id(), chunk);
+            txn.when(key, view.stamp(key)).put(key, Records.progress(progress));
+          });
+      LOG.debug("grant {} tasks of {}", count, job.id());
+      writes.grant(job.id(), partitions, txn);
+    }
+  }
+
+  /** How many of its class's aims the job would miss even if it started now. */
+  private int missedAims(Job job) {
+    double ageS = (clock.wall() - job.acceptedMs()) / 1000.0;
+    int missed = 0;
+    for (Settings.Objective aim : settings.objectives()) {
+      if (aim.jobClass().equals(job.spec().jobClass())) {
+        double withinS = aim.withinS();
+        if (aim.times() > 0) {
+          Double deadlineS = job.spec().deadlineS();
+          withinS = deadlineS == null ? 0 : deadlineS * aim.times();
+        }
+        missed += withinS > 0 && ageS + job.spec().estimateS() > withinS ? 1 : 0;
+      }
+    }
+    return missed;
+  }
+
+  /** What a job asks for of a machine: where one found no room, its like need not look in this pass. */
+  private static String shape(JobSpec spec, String onlyZone) {
+    return spec.cpus() + " " + spec.gpus() + " " + spec.memoryGb() + " " + spec.spot() + " "
+        + spec.types() + " " + onlyZone;
+  }
+
+  private void finish(String id, View.Entry<Job> job) {
+    writes.write(
+        id,
+        Store.Urgency.LAUNCH,
+        new Txn()
+            .when(Keys.claim(Keys.DESK), membership.desk())
+            .when(Keys.job(id), job.stamp())
+            .put(Keys.job(id), Records.job(job.value().done())));
+  }
+
+  /** A job that is over and has no task left needs no progress. */
+  private void clean(String id, TreeMap<Integer, View.Entry<Progress>> chunks) {
+    Txn txn = new Txn().when(Keys.claim(Keys.DESK), membership.desk());
+    for (Integer chunk : chunks.keySet()) {
+      if (txn.writes() < settings.state().txnOps()) {
+        String key = Keys.progress(id, chunk);
+        txn.when(key, view.stamp(key)).delete(key);
+      }
+    }
+    writes.write(id, Store.Urgency.MOVE, txn);
+  }
+}
--- /dev/null
+++ b/src/main/java/org/baygw/control/quota/TeamUsage.java
@@ -0,0 +1,48 @@
+package org.baygw.control.quota;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.baygw.control.Constants;
+import org.baygw.control.config.Settings;
+import org.baygw.control.model.JobSpec;
+
+/** What each team's live tasks take, changed during a pass as tasks are granted or stopped. */
+final class TeamUsage {
+  private static final class Amounts {
+    double cpus;
+    double gpus;
+  }
+
+  private final Map<String, Amounts> byTeam = new HashMap<>();
+
+  TeamUsage(List<Settings.Team> teams) {
+    for (Settings.Team team : teams) {
+      byTeam.put(team.name(), new Amounts());
+    }
+  }
+
+  /** Counts so many tasks of a job, or takes them off where the number is negative. */
+  void add(JobSpec spec, int tasks) {
+    Amounts amounts = byTeam.get(spec.team());
+    if (amounts != null) {
+      amounts.cpus += spec.cpus() * tasks;
+      amounts.gpus += spec.gpus() * tasks;
+    }
+  }
+
+  double cpus(String team) {
+    return byTeam.get(team).cpus;
+  }
+
+  /** How many of the wanted tasks the team's limit allows. */
+  int allowed(Settings.Team team, JobSpec spec, int wanted) {
+    Amounts amounts = byTeam.get(team.name());
+    int byCpus = atMost(wanted, team.cpusMax() - amounts.cpus, spec.cpus());
+    return atMost(byCpus, team.gpusMax() - amounts.gpus, spec.gpus());
+  }
+
+  private static int atMost(int wanted, double free, double each) {
+    return each <= 0 ? wanted : (int) Math.min(wanted, Math.floor((free + Constants.EPS) / each));
+  }
+}
--- a/src/test/java/org/baygw/control/sim/Checker.java
+++ b/src/test/java/org/baygw/control/sim/Checker.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -103,7 +104,7 @@
   }
 
   Set<FakeWorker> machinesOf(String id) {
-    Set<FakeWorker> found = new HashSet<>();
+    Set<FakeWorker> found = new LinkedHashSet<>();
     onOf(id).values().forEach(found::addAll);
     return found;
   }
@@ -198,7 +199,7 @@
     starts++;
     Submitted s = job(task);
     begun.putIfAbsent(s.id(), world.now());
-    Set<FakeWorker> at = on.computeIfAbsent(task, k -> new HashSet<>());
+    Set<FakeWorker> at = on.computeIfAbsent(task, k -> new LinkedHashSet<>());
     if (!at.isEmpty()) {
       breaks("ran_twice", task);
     }
