--- a/src/main/java/org/baygw/control/Constants.java
+++ b/src/main/java/org/baygw/control/Constants.java
@@ -412,6 +412,9 @@
   /** ms after which borrowed room is taken back for such a job by stopping tasks. */
   public static final long RECLAIM_MS = 75_000;
 
+  /** s for which a task must run for its start to count (protocol, with some time to spare). */
+  public static final double START_COUNTS_S = 35;
+
   /** s of lost work that a start with its image there is worth: about one fetch. */
   public static final double COLD_COST_S = 3;
 
--- a/src/main/java/org/baygw/control/config/Settings.java
+++ b/src/main/java/org/baygw/control/config/Settings.java
@@ -46,6 +46,11 @@
           gpus,
           none ? Double.POSITIVE_INFINITY : gpusMax);
     }
+
+    /** Whether anything is guaranteed to the team; a guest has no guarantee. */
+    public boolean hasGuarantee() {
+      return cpus > 0 || gpus > 0;
+    }
   }
 
   /**
--- a/src/main/java/org/baygw/control/fleet/Fleet.java
+++ b/src/main/java/org/baygw/control/fleet/Fleet.java
@@ -385,7 +385,7 @@
         }
         for (boolean spot : new boolean[] {true, false}) {
           Kind k = new Kind(t.name(), zone, spot);
-          if (spot && !s.spot() || refused.containsKey(k)) {
+          if (spot && !s.spot() || refused.containsKey(k) || !spot && u.canWaitForSpot()) {
             continue;
           }
           // Spot machines that all are taken come free sooner than a dearer one boots, in a short
--- a/src/main/java/org/baygw/control/quota/Preemption.java
+++ b/src/main/java/org/baygw/control/quota/Preemption.java
@@ -9,6 +9,7 @@
 import java.util.ListIterator;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Predicate;
 import java.util.function.ToDoubleFunction;
 import org.baygw.control.Constants;
 import org.baygw.control.config.Settings;
@@ -29,8 +30,10 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * Makes room for production jobs and for jobs within their team's guarantee, as the protocol allows: by
- * stopping work of lower priority, or for a guarantee what another team borrows.
+ * Makes room as the protocol allows, by stopping work of lower priority, or for a guarantee what another
+ * team borrows. That is done for production jobs, for jobs that have waited long for their team's
+ * guarantee, and at once where the work of a guest can be stopped without loss: nothing is guaranteed to
+ * a guest, so it cannot take the room back, and teams do not take turns.
  */
 final class Preemption {
   private static final Logger LOG = LoggerFactory.getLogger(Preemption.class);
@@ -47,6 +50,9 @@
   private final Rooms rooms;
   private final JobWrites writes;
 
+  /** The teams to which nothing is guaranteed. */
+  private final List<String> guests;
+
   /** Seconds since this scheduler granted a task; endless where a former one did. */
   private final ToDoubleFunction<TaskId> grantAgeS;
 
@@ -69,6 +75,11 @@
     this.rooms = rooms;
     this.writes = writes;
     this.grantAgeS = grantAgeS;
+    this.guests =
+        settings.teams().stream()
+            .filter(team -> !team.hasGuarantee())
+            .map(Settings.Team::name)
+            .toList();
   }
 
   /**
@@ -83,7 +94,7 @@
     ListIterator<UnmetDemand> it = unmet.listIterator();
     while (it.hasNext() && pass.stopped < Constants.PREEMPT_PER_PASS) {
       UnmetDemand demand = it.next();
-      if (mayStopOthers(demand)) {
+      if (mayStopOthers(demand, usage)) {
         int left = pass.makeRoom(demand);
         if (left == 0) {
           it.remove();
@@ -98,8 +109,10 @@
     pass.byJob.forEach(this::stop);
   }
 
-  private static boolean mayStopOthers(UnmetDemand demand) {
-    return demand.spec().priority() == JobSpec.Priority.PRODUCTION || demand.reclaims();
+  private boolean mayStopOthers(UnmetDemand demand, TeamUsage usage) {
+    return demand.spec().priority() == JobSpec.Priority.PRODUCTION
+        || demand.standing().reclaims()
+        || !demand.standing().guest() && guests.stream().anyMatch(team -> usage.cpus(team) > 0);
   }
 
   /** One pass: what is chosen to be stopped, with the room that this gives. */
@@ -108,6 +121,10 @@
     private final Set<String> guaranteed;
     private final Map<Room, List<Victim>> victims = new HashMap<>();
     private final Map<String, List<Victim>> byJob = new LinkedHashMap<>();
+
+    /** Live tasks of the jobs whose tasks were looked at, less those that are chosen. */
+    private final Map<String, Integer> live = new HashMap<>();
+
     private List<Room> machines;
     private int stopped;
 
@@ -174,6 +191,7 @@
         victims.get(room).remove(victim);
         usage.add(victim.spec(), -1);
         byJob.computeIfAbsent(victim.task().job(), k -> new ArrayList<>()).add(victim);
+        live.merge(victim.task().job(), -1, Integer::sum);
       }
       room.take(demand.spec());
       stopped += stops.victims().size();
@@ -191,14 +209,13 @@
       double memoryGb = 0;
       double cost = room.machine().images().contains(spec.image()) ? 0 : Constants.COLD_COST_S;
       List<Victim> chosen = new ArrayList<>();
-      Map<String, Double> taken = new HashMap<>();
       boolean fits = room.fitsWith(spec, cpus, gpus, memoryGb);
       for (Victim victim : candidates) {
         if (fits) {
           break;
         }
         JobSpec other = victim.spec();
-        if (!mayStop(demand, victim, taken)) {
+        if (!mayStop(demand, victim, chosen)) {
           continue;
         }
         chosen.add(victim);
@@ -212,28 +229,67 @@
     }
 
     /**
-     * Whether a task may be stopped for the demand. Production work stops anything below it; a job that
-     * reclaims its guarantee stops what other teams borrow, no more of it than they borrow.
+     * Whether a task may be stopped for the demand: production work stops anything below it.
      *
-     * @param taken CPUs of each team that are chosen on this machine already
+     * @param chosen what is chosen on this machine already
      */
-    private boolean mayStop(UnmetDemand demand, Victim victim, Map<String, Double> taken) {
-      if (demand.spec().priority() == JobSpec.Priority.PRODUCTION) {
-        return true;
-      }
+    private boolean mayStop(UnmetDemand demand, Victim victim, List<Victim> chosen) {
+      return demand.spec().priority() == JobSpec.Priority.PRODUCTION
+          || isGuestThatYields(demand, victim, chosen)
+          || demand.standing().reclaims() && isBorrowed(demand, victim, chosen);
+    }
+
+    /**
+     * Whether the task is a guest's, saves its work, and is of lower priority or in the way of a
+     * guarantee. Each of a guest's jobs keeps a task, and each start its first half minute, or a job
+     * that has begun would count as one that has not.
+     */
+    private boolean isGuestThatYields(UnmetDemand demand, Victim victim, List<Victim> chosen) {
+      JobSpec other = victim.spec();
+      boolean weaker =
+          demand.standing().guaranteed()
+              || demand.spec().priority().compareTo(other.priority()) < 0;
+      return weaker
+          && guests.contains(other.team())
+          && !demand.standing().guest()
+          && other.checkpoints()
+          && grantAgeS.applyAsDouble(victim.task()) > Constants.START_COUNTS_S
+          && live(other.id()) - count(chosen, v -> v.spec() == other) > 1;
+    }
+
+    private int live(String job) {
+      return live.computeIfAbsent(job, Preemption.this::liveTasks);
+    }
+
+    /**
+     * Whether the task is beyond its team's guarantee, which may be taken back for a job that reclaims
+     * its own; no more of it than is beyond.
+     */
+    private boolean isBorrowed(UnmetDemand demand, Victim victim, List<Victim> chosen) {
       JobSpec other = victim.spec();
       String team = other.team();
-      double borrowed =
-          usage.cpus(team) - taken.getOrDefault(team, 0.0) - settings.team(team).cpus();
-      if (guaranteed.contains(other.id()) || team.equals(demand.spec().team())
-          || borrowed < other.cpus() - Constants.EPS) {
-        return false;
+      double taken = 0;
+      for (Victim before : chosen) {
+        taken += before.spec().team().equals(team) ? before.spec().cpus() : 0;
       }
-      taken.merge(team, other.cpus(), Double::sum);
-      return true;
+      double borrowed = usage.cpus(team) - taken - settings.team(team).cpus();
+      return !guaranteed.contains(other.id())
+          && !team.equals(demand.spec().team())
+          && borrowed >= other.cpus() - Constants.EPS;
     }
   }
 
+  private static int count(List<Victim> victims, Predicate<Victim> which) {
+    return (int) victims.stream().filter(which).count();
+  }
+
+  private int liveTasks(String job) {
+    Map<Integer, View.Entry<Progress>> chunks = view.progress.get(job);
+    return chunks == null
+        ? 0
+        : chunks.values().stream().mapToInt(chunk -> chunk.value().live.size()).sum();
+  }
+
   private static Room cheapest(Map<Room, Stops> options) {
     Room best = null;
     for (Map.Entry<Room, Stops> entry : options.entrySet()) {
--- a/src/main/java/org/baygw/control/quota/Scheduler.java
+++ b/src/main/java/org/baygw/control/quota/Scheduler.java
@@ -200,6 +200,7 @@
           spec,
           job.acceptedMs(),
           entry.stamp(),
+          !settings.team(spec.team()).hasGuarantee(),
           guaranteed.contains(spec.id()),
           live + done == 0 ? clock.wall() - job.acceptedMs() : 0,
           missedAims(job),
@@ -239,7 +240,7 @@
       JobSpec spec = job.spec();
       long waitedMs = clock.now() - unmetSince.computeIfAbsent(job.id(), k -> clock.now());
       if (!spec.spread() && !spec.oneZone()) {
-        left.add(new UnmetDemand(spec, spec.zone(), job.reclaims(), count, waitedMs));
+        left.add(new UnmetDemand(spec, spec.zone(), count, waitedMs, job.standing()));
         return waitedMs;
       }
       Map<String, Integer> byZone = new LinkedHashMap<>();
@@ -247,7 +248,7 @@
         byZone.merge(zones.zoneFor(spec, zoneLive), 1, Integer::sum);
       }
       byZone.forEach(
-          (zone, n) -> left.add(new UnmetDemand(spec, zone, job.reclaims(), n, waitedMs)));
+          (zone, n) -> left.add(new UnmetDemand(spec, zone, n, waitedMs, job.standing())));
       return waitedMs;
     }
 
--- a/src/test/java/org/baygw/control/sim/FakeCloud.java
+++ b/src/test/java/org/baygw/control/sim/FakeCloud.java
@@ -30,6 +30,10 @@
   private int made;
   private int neverBoot;
   int capacity = 40;
+
+  /** How many of them may be spot machines. */
+  int spotCapacity = Integer.MAX_VALUE;
+
   long bootMs = 8_000;
   int rentals;
 
@@ -118,13 +122,16 @@
     String booking = n.path("booking").asText();
     if (!bookings.containsKey(booking)) {
       List<String> names = new ArrayList<>();
-      int count = Math.min(n.path("count").asInt(), capacity - machines.size());
+      boolean spot = n.path("loaners").asBoolean();
+      int free = capacity - machines.size();
+      long freeSpot = spotCapacity - machines.values().stream().filter(r -> r.spot).count();
+      int count = (int) Math.min(n.path("count").asInt(), spot ? Math.min(free, freeSpot) : free);
       if (count <= 0) {
         respond.done(503, Json.bytes(Json.object().put("error", "no capacity")));
         return;
       }
       for (int i = 0; i < count; i++) {
-        names.add(add(n.path("yard").asText(), n.path("loaners").asBoolean(), bootMs));
+        names.add(add(n.path("yard").asText(), spot, bootMs));
         rentals++;
       }
       ObjectNode out = Json.object();
--- a/src/test/java/org/baygw/control/sim/Scenario.java
+++ b/src/test/java/org/baygw/control/sim/Scenario.java
@@ -108,6 +108,7 @@
           o.forEach(
               (k, v) -> {
                 switch (k) {
+                  case "spot-capacity" -> world.cloud.spotCapacity = Integer.parseInt(v);
                   case "capacity" -> world.cloud.capacity = Integer.parseInt(v);
                   case "boot" -> world.cloud.bootMs = seconds(v);
                   case "never-boots" -> world.cloud.nextNeverBoots(Integer.parseInt(v));
