--- a/src/main/java/org/baygw/control/Constants.java
+++ b/src/main/java/org/baygw/control/Constants.java
@@ -14,19 +14,23 @@
   /** Most tasks recorded on one machine: a page has room for several such machines in 8 KiB. */
   public static final int MACHINE_TASKS = 200;
 
-  /** Share of the state service's value limit up to which a page of a part's record takes new tasks. */
+  /**
+   * Share of the state service's value limit up to which a page of a part's record takes new tasks.
+   */
   public static final double ROSTER_FULL = 0.85;
 
   /** Share of the value limit that ended tasks may take before progress takes them over. */
   public static final double ROSTER_ENDED = 0.3;
 
   /**
-   * Share of it that what a page's machines have to do takes when the record gets twice the pages: with
-   * what has ended there the page is nearly full then.
+   * Share of it that what a page's machines have to do takes when the record gets twice the pages:
+   * with what has ended there the page is nearly full then.
    */
   public static final double ROSTER_CROWDED = 0.5;
 
-  /** Share of a write's changes and bytes that pages take: the rest is for jobs, machines and moves. */
+  /**
+   * Share of a write's changes and bytes that pages take: the rest is for jobs, machines and moves.
+   */
   public static final double ROSTER_WRITE_SHARE = 0.75;
 
   /** Bytes of a page kept free for what ends: it moves from one list to another, and may grow. */
@@ -38,7 +42,9 @@
   /** Bytes a task takes of it, about, with its share of its job's name. */
   public static final int ROSTER_TASK_BYTES = 8;
 
-  /** Machines whose ends go into one write: a part has some forty, and a write is at most 64 KiB. */
+  /**
+   * Machines whose ends go into one write: a part has some forty, and a write is at most 64 KiB.
+   */
   public static final int MACHINES_PER_WRITE = 64;
 
   /** Jobs whose ended tasks are taken over at the same time: it is never urgent. */
@@ -47,24 +53,32 @@
   /** Divisions of the parts kept, by members: they change by one or two at a time. */
   public static final int OWNERS_KEPT = 8;
 
-  /** ms between two writes of a part's record while tokens are scarce: what ends meanwhile shares one. */
+  /**
+   * ms between two writes of a part's record while tokens are scarce: what ends meanwhile shares
+   * one.
+   */
   public static final long ROSTER_PACE_MS = 400;
 
-  /** ms added to that for each further page: a write takes as many changes as pages, and grants need some. */
+  /**
+   * ms added to that for each further page: a write takes as many changes as pages, and grants need
+   * some.
+   */
   public static final long ROSTER_PACE_MS_A_PAGE = 40;
 
   /** ms between two tries to place what found no room, while nothing else calls for a write. */
   public static final long PLACE_AGAIN_MS = 100;
 
-  /** Machines' own records deleted in one write of their part's record; the rest waits for the next. */
+  /**
+   * Machines' own records deleted in one write of their part's record; the rest waits for the next.
+   */
   public static final int DELETES_PER_WRITE = 6;
 
   /** Images remembered for a machine: about as many as its cache holds. */
   public static final int MACHINE_IMAGES = 20;
 
   /**
-   * ms. The core's clock step: fine against second-long aims. Every answer is a step too, so a shorter one only
-   * wakes the process more often, at half a millisecond of processor time each.
+   * ms. The core's clock step: fine against second-long aims. Every answer is a step too, so a
+   * shorter one only wakes the process more often, at half a millisecond of processor time each.
    */
   public static final long TICK_MS = 50;
 
@@ -74,7 +88,10 @@
   /** ms between renewals of the hold: three tries within its life. */
   public static final long HOLD_TOUCH_MS = 1_500;
 
-  /** ms a controller must be seen before parts are handed to it: long enough not to chase one that flaps. */
+  /**
+   * ms a controller must be seen before parts are handed to it: long enough not to chase one that
+   * flaps.
+   */
   public static final long SETTLE_MS = 1_000;
 
   /** ms after joining for which controllers that are still to come count: they start within it. */
@@ -89,18 +106,24 @@
   /** ms between two statuses sent to the other controllers. */
   public static final long PEER_MS = 3_000;
 
-  /** ms by which another controller was answered later by the state service: this one is refused alone. */
+  /**
+   * ms by which another controller was answered later by the state service: this one is refused
+   * alone.
+   */
   public static final long ALONE_MS = 5_000;
 
   /** ms between two statuses at least: cancellations that come together go together. */
   public static final long PEER_URGENT_MS = 200;
 
-  /** Cancellations in one status: they fit into a body. A copy that lacks more needs the state service. */
+  /**
+   * Cancellations in one status: they fit into a body. A copy that lacks more needs the state
+   * service.
+   */
   public static final int CANCELLATIONS_TOLD = 1_000;
 
   /**
-   * ms taken off the time that a lease leaves of a cancellation's: a worker ends its session at the next
-   * step of its clock, and this controller's clock counts whole milliseconds.
+   * ms taken off the time that a lease leaves of a cancellation's: a worker ends its session at the
+   * next step of its clock, and this controller's clock counts whole milliseconds.
    */
   public static final long CANCEL_MARGIN_MS = 500;
 
@@ -110,7 +133,10 @@
   /** ms at least between two of them, however short that time is. */
   public static final long HORIZON_PERIOD_MIN_MS = 250;
 
-  /** ms of that time below which ordinary delays end leases: a watch and two lost answers take so long. */
+  /**
+   * ms of that time below which ordinary delays end leases: a watch and two lost answers take so
+   * long.
+   */
   public static final long HORIZON_TIGHT_MS = 8_000;
 
   /** Significant digits of histograms: 1% is enough for latencies and keeps them small. */
@@ -119,12 +145,14 @@
   /** ms. Highest value a histogram holds: an hour. */
   public static final long HISTOGRAM_MAX_MS = 3_600_000;
 
-  /** ms a watch stays open at the state service; also bounds how long a dead connection is unseen. */
+  /**
+   * ms a watch stays open at the state service; also bounds how long a dead connection is unseen.
+   */
   public static final long WATCH_WAIT_MS = 4_000;
 
   /**
-   * ms without an answered watch or sync after which all keys are read instead of all changes: longer
-   * than a watch with nothing to tell stays open, and twice its time to be given up.
+   * ms without an answered watch or sync after which all keys are read instead of all changes:
+   * longer than a watch with nothing to tell stays open, and twice its time to be given up.
    */
   public static final long BEHIND_MS = 7_000;
 
@@ -135,8 +163,8 @@
   public static final double WATCH_SHARE = 0.3;
 
   /**
-   * ms that who needs a current copy waits for the next watch: while much changes one is opened sooner
-   * than that, and a sync beside it would bring every change a second time.
+   * ms that who needs a current copy waits for the next watch: while much changes one is opened
+   * sooner than that, and a sync beside it would bring every change a second time.
    */
   public static final long SYNC_WAIT_MS = 100;
 
@@ -155,7 +183,9 @@
   /** Shares of the state service's limits that the desk's controller takes beside its own one. */
   public static final double DESK_SHARES = 1;
 
-  /** Times the limit that all shares add up to: seldom do all controllers write at the same time. */
+  /**
+   * Times the limit that all shares add up to: seldom do all controllers write at the same time.
+   */
   public static final double STATE_OVERBOOK = 1.3;
 
   /** Most of the limits that one controller takes, however few there are. */
@@ -195,8 +225,8 @@
   public static final long LEASE_MARGIN_MS = 500;
 
   /**
-   * Reports that show that our answers do not arrive before a worker counts as deaf: one answer is now
-   * and then lost, and a report may have been sent before the answer came.
+   * Reports that show that our answers do not arrive before a worker counts as deaf: one answer is
+   * now and then lost, and a report may have been sent before the answer came.
    */
   public static final int DEAF_REPORTS = 3;
 
@@ -204,30 +234,38 @@
   public static final int DEAF_LEASES = 3;
 
   /**
-   * Completed tasks that a worker is told to forget together: each time it has forgotten something it
-   * reports once more.
+   * Completed tasks that a worker is told to forget together: each time it has forgotten something
+   * it reports once more.
    */
   public static final int FORGET_TOGETHER = 6;
 
   /** Report periods of silence after which a worker is asked: a period is at most 1.25 of them. */
   public static final double ASK_REPORTS = 1.4;
 
-  /** Report periods of silence after which a machine that did not answer is given up and returned. */
+  /**
+   * Report periods of silence after which a machine that did not answer is given up and returned.
+   */
   public static final double LOST_REPORTS = 1.9;
 
   /**
-   * Report periods without a word from any worker of its zone after which a controller takes itself for
-   * cut off from them: a report comes within 1.25, and a worker counts as silent only after 1.9.
+   * Report periods without a word from any worker of its zone after which a controller takes itself
+   * for cut off from them: a report comes within 1.25, and a worker counts as silent only after
+   * 1.9.
    */
   public static final double UNHEARD_REPORTS = 1.5;
 
-  /** Report periods within which any other worker must have been heard for one to count as silent. */
+  /**
+   * Report periods within which any other worker must have been heard for one to count as silent.
+   */
   public static final double SURE_REPORTS = 0.5;
 
   /** Machines that it must have for that: few may really have ended together. */
   public static final int UNHEARD_MACHINES = 5;
 
-  /** ms after a takeover before workers are asked: most come by themselves, and asking renews no lease. */
+  /**
+   * ms after a takeover before workers are asked: most come by themselves, and asking renews no
+   * lease.
+   */
   public static final long ASK_FIRST_MS = 1_000;
 
   /** Report periods between two questions to a worker that does not answer. */
@@ -246,15 +284,18 @@
   public static final double GRACE_S = 1;
 
   /**
-   * Times the notice that the rest of a task must be estimated at to be given up at once: half of those
-   * at the edge would have ended in time, the other half loses all it had.
+   * Times the notice that the rest of a task must be estimated at to be given up at once: half of
+   * those at the edge would have ended in time, the other half loses all it had.
    */
   public static final double NOTICE_SLACK = 1.0;
 
   /** ms for a worker's answer when it is asked whether it is there. */
   public static final int SHOW_TIMEOUT_MS = 1_500;
 
-  /** ms without a tick that show that this controller itself fell behind, so that silence proves nothing. */
+  /**
+   * ms without a tick that show that this controller itself fell behind, so that silence proves
+   * nothing.
+   */
   public static final long STALL_MS = 400;
 
   /** Share of a zone's machines silent at once that points at the network, not at them. */
@@ -263,41 +304,59 @@
   /** Report periods a silent machine is kept in any case, to see whether others fall silent too. */
   public static final double SILENT_REPORTS = 0.5;
 
-  /** Report periods for which machines silent at the end of such a cut are kept: they look for a node. */
+  /**
+   * Report periods for which machines silent at the end of such a cut are kept: they look for a
+   * node.
+   */
   public static final double SILENT_AFTER_CUT = 2;
 
   /** ms for which so many silent machines are kept: a cut ends, and new machines take a boot. */
   public static final long SILENT_KEEP_MS = 60_000;
 
-  /** Share of the time for a cancellation after which a silent machine with cancelled tasks goes. */
+  /**
+   * Share of the time for a cancellation after which a silent machine with cancelled tasks goes.
+   */
   public static final double CANCEL_SHARE = 0.4;
 
   /**
-   * Share of the time for a cancellation after which a partition's owner has the cloud take a machine
-   * back that may still have a cancelled task: the usual way is quicker, and what is left is enough for
-   * a few tries.
+   * Share of the time for a cancellation after which a partition's owner has the cloud take a
+   * machine back that may still have a cancelled task: the usual way is quicker, and what is left
+   * is enough for a few tries.
    */
   public static final double CANCELLATION_OWNER_SHARE = 0.5;
 
   /**
-   * Share of that time for which the owner must know of the task before: after a takeover workers need
-   * a few reports to show what has ended.
+   * Share of that time for which the owner must know of the task before: after a takeover workers
+   * need a few reports to show what has ended.
    */
   public static final double CANCELLATION_NOTICE_SHARE = 0.15;
 
-  /** The same for a partition without a living owner, in an outage: an owner that is only slow goes first. */
+  /**
+   * The same for a partition without a living owner, in an outage: an owner that is only slow goes
+   * first.
+   */
   public static final double CANCELLATION_OWNERLESS_SHARE = 0.6;
 
-  /** The same for any controller whose copy is current, whoever owns the machine: a few tries are left. */
+  /**
+   * The same for any controller whose copy is current, whoever owns the machine: a few tries are
+   * left.
+   */
   public static final double CANCELLATION_LAST_SHARE = 0.8;
 
-  /** ms a granted task may wait in a part with no fitting machine before it goes back to the queue. */
+  /**
+   * ms a granted task may wait in a part with no fitting machine before it goes back to the queue.
+   */
   public static final long UNGRANT_MS = 4_000;
 
-  /** ms for which a part that gave a job's tasks back unplaced gets more of them only if no other has room. */
+  /**
+   * ms for which a part that gave a job's tasks back unplaced gets more of them only if no other
+   * has room.
+   */
   public static final long AVOID_MS = 20_000;
 
-  /** ms between looks at which of an owner's machines are quiet; what changes is looked at at once. */
+  /**
+   * ms between looks at which of an owner's machines are quiet; what changes is looked at at once.
+   */
   public static final long LOOK_MS = 300;
 
   /** ms between looks at all tasks of all its machines, for what no change brought to notice. */
@@ -309,7 +368,9 @@
   /** ms added to that while nothing has changed: only waiting times grow meanwhile. */
   public static final long DESK_IDLE_PASS_MS = 1_000;
 
-  /** ms added to that for each machine: a pass looks at each, and may not take most of a processor. */
+  /**
+   * ms added to that for each machine: a pass looks at each, and may not take most of a processor.
+   */
   public static final double DESK_PASS_MS_A_MACHINE = 0.2;
 
   /** ms between them while tokens for writes are scarce: more tasks of a job share a grant. */
@@ -317,8 +378,8 @@
 
   /**
    * ms for which tasks that found no room keep their share of the team's limit: about a boot of the
-   * machines that are rented for them. After it the cloud may have none to give, and others of the team
-   * for which there is room must not wait behind them.
+   * machines that are rented for them. After it the cloud may have none to give, and others of the
+   * team for which there is room must not wait behind them.
    */
   public static final long LIMIT_RESERVED_MS = 60_000;
 
@@ -385,7 +446,10 @@
   /** Nodes per step, so that reports and polls are answered between steps. */
   public static final int SEARCH_STEP = 50;
 
-  /** s. Tasks that run longer stay put: a move restarts a task that cannot save, so it must be young. */
+  /**
+   * s. Tasks that run longer stay put: a move restarts a task that cannot save, so it must be
+   * young.
+   */
   public static final double AGE_LIMIT_S = 5;
 
   /**
@@ -421,7 +485,10 @@
   /** s of lost work that a second of saving is worth, for the one that waits for the room. */
   public static final double SAVE_COST = 4;
 
-  /** Machines looked at for one job that others are stopped for, in one pass: a pass must stay short. */
+  /**
+   * Machines looked at for one job that others are stopped for, in one pass: a pass must stay
+   * short.
+   */
   public static final int PREEMPT_LOOKS = 120;
 
   /** Tasks the desk may stop in one pass to make room. */
--- a/src/main/java/org/baygw/control/Controller.java
+++ b/src/main/java/org/baygw/control/Controller.java
@@ -18,8 +18,9 @@
 import org.baygw.control.workers.Workers;
 
 /**
- * The core: takes requests, answers of other systems and clock ticks; gives back what to send and to
- * answer. It does no I/O, reads no clock and has no thread, so tests drive it with simulated ones.
+ * The core: takes requests, answers of other systems and clock ticks; gives back what to send and
+ * to answer. It does no I/O, reads no clock and has no thread, so tests drive it with simulated
+ * ones.
  */
 public final class Controller {
   private final Clock clock = new Clock();
@@ -45,8 +46,7 @@
     this.workers = new Workers(clock, out, settings, store, view, membership, horizon, cloud);
     this.scheduler = new Scheduler(clock, settings, store, view, membership);
     this.fleet = new Fleet(clock, settings, store, view, membership, cloud, scheduler);
-    this.admin =
-        new Admin(clock, out, settings, store, view, membership, workers, scheduler);
+    this.admin = new Admin(clock, out, settings, store, view, membership, workers, scheduler);
   }
 
   /** A request on the users' and workers' side. */
--- a/src/main/java/org/baygw/control/Main.java
+++ b/src/main/java/org/baygw/control/Main.java
@@ -30,7 +30,8 @@
 
   @Option(
       names = "--self-check",
-      description = "Start on loopback, answer one request, and end: shows that the program runs here.")
+      description =
+          "Start on loopback, answer one request, and end: shows that the program runs here.")
   private boolean selfCheck;
 
   /** The version from the jar's manifest. */
@@ -49,7 +50,8 @@
       System.exit(BAD_USAGE);
     }
     System.setProperty("org.slf4j.simpleLogger.defaultLogLevel", level);
-    System.setProperty("org.slf4j.simpleLogger.log.io.netty", level.equals("debug") ? "info" : level);
+    System.setProperty(
+        "org.slf4j.simpleLogger.log.io.netty", level.equals("debug") ? "info" : level);
     System.setProperty("org.slf4j.simpleLogger.showThreadName", "false");
     System.setProperty("org.slf4j.simpleLogger.showShortLogName", "true");
     int status =
@@ -85,7 +87,8 @@
       return BAD_USAGE;
     }
     new Shell(settings).start();
-    LoggerFactory.getLogger(Main.class).info("{} listens on port {}", settings.label(), settings.listen().port());
+    LoggerFactory.getLogger(Main.class)
+        .info("{} listens on port {}", settings.label(), settings.listen().port());
     return RUNS;
   }
 }
--- a/src/main/java/org/baygw/control/admin/Admin.java
+++ b/src/main/java/org/baygw/control/admin/Admin.java
@@ -4,7 +4,6 @@
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.nio.charset.StandardCharsets;
-import java.util.Map;
 import java.util.TreeMap;
 import java.util.function.Consumer;
 import org.baygw.control.Constants;
@@ -132,9 +131,7 @@
             return;
           }
           Txn t =
-              new Txn()
-                  .when(Keys.PARAMS, view.stamp(Keys.PARAMS))
-                  .put(Keys.PARAMS, next.toJson());
+              new Txn().when(Keys.PARAMS, view.stamp(Keys.PARAMS)).put(Keys.PARAMS, next.toJson());
           write(request, t, () -> next.toJson());
         });
   }
@@ -210,9 +207,11 @@
       meters.gauge("baygw.revision", "Revision the copy has reached", view, View::revision);
       meters.gauge("baygw.machines", "Machines on record", view, v -> v.machines.size());
       meters.gauge("baygw.jobs", "Jobs on record", view, v -> v.jobs.size());
-      meters.gauge("baygw.unmet", "Tasks without room, at the leader", scheduler, Scheduler::unmetTasks);
+      meters.gauge(
+          "baygw.unmet", "Tasks without room, at the leader", scheduler, Scheduler::unmetTasks);
       meters.counter("baygw.rounds", "Rounds searched", workers, w -> w.rounds().searched());
-      meters.counter("baygw.rounds.better", "Rounds that improved", workers, w -> w.rounds().found());
+      meters.counter(
+          "baygw.rounds.better", "Rounds that improved", workers, w -> w.rounds().found());
       meters.counter("baygw.moves", "Moves planned", workers, w -> w.rounds().planned());
       meters.histogram("baygw.launch.ms", "From acceptance to launch", workers.launchMs());
       meters.histogram("baygw.write.ms", "Conditional writes, with their wait", store.writeMs());
--- a/src/main/java/org/baygw/control/admin/Meters.java
+++ b/src/main/java/org/baygw/control/admin/Meters.java
@@ -9,8 +9,8 @@
 import org.HdrHistogram.Histogram;
 
 /**
- * The metrics page. The slices count in plain fields; the registry reads them. It is made at the first
- * request for the page, because its classes would slow every start.
+ * The metrics page. The slices count in plain fields; the registry reads them. It is made at the
+ * first request for the page, because its classes would slow every start.
  */
 final class Meters {
   private static final double[] PERCENTILES = {50, 90, 99, 100};
--- a/src/main/java/org/baygw/control/cloud/Cloud.java
+++ b/src/main/java/org/baygw/control/cloud/Cloud.java
@@ -83,11 +83,8 @@
     }
   }
 
-  private void request(
-      int queue, String method, String path, JsonNode body, Outbox.Callback then) {
-    queues
-        .get(queue)
-        .add(new Waiting(method, path, body == null ? null : Json.bytes(body), then));
+  private void request(int queue, String method, String path, JsonNode body, Outbox.Callback then) {
+    queues.get(queue).add(new Waiting(method, path, body == null ? null : Json.bytes(body), then));
     tick();
   }
 
@@ -190,7 +187,6 @@
     ObjectNode n = Json.object();
     ArrayNode a = n.putArray("hosts");
     names.forEach(a::add);
-    request(
-        RETURN, "POST", "/machines/return", n, (status, body) -> then.accept(status == 200));
+    request(RETURN, "POST", "/machines/return", n, (status, body) -> then.accept(status == 200));
   }
 }
--- a/src/main/java/org/baygw/control/config/Settings.java
+++ b/src/main/java/org/baygw/control/config/Settings.java
@@ -62,8 +62,8 @@
   /** Workers' periods, in seconds. */
   public record WorkerTimes(double reportS, double leaseS, double cancelS) {
     /**
-     * ms for which knowledge of cancellations is recent enough to renew a lease: what a lease leaves of
-     * a cancellation's time, by this controller's steady clock.
+     * ms for which knowledge of cancellations is recent enough to renew a lease: what a lease
+     * leaves of a cancellation's time, by this controller's steady clock.
      */
     public long horizonMs() {
       return (long)
@@ -75,8 +75,7 @@
     /** ms after which such knowledge is to be drawn anew, at most the given. */
     public long horizonPeriodMs(long mostMs) {
       return Math.max(
-          Constants.HORIZON_PERIOD_MIN_MS,
-          Math.min(mostMs, horizonMs() / Constants.HORIZON_TRIES));
+          Constants.HORIZON_PERIOD_MIN_MS, Math.min(mostMs, horizonMs() / Constants.HORIZON_TRIES));
     }
   }
 
--- a/src/main/java/org/baygw/control/core/Outbox.java
+++ b/src/main/java/org/baygw/control/core/Outbox.java
@@ -3,11 +3,16 @@
 import java.util.ArrayList;
 import java.util.List;
 
-/** Collects what the core wants sent or answered while one input is handled; the shell carries it out. */
+/**
+ * Collects what the core wants sent or answered while one input is handled; the shell carries it
+ * out.
+ */
 public final class Outbox {
   /** Gets the outcome of a call. */
   public interface Callback {
-    /** @param status the HTTP status; {@link #NO_ANSWER} or {@link #NOT_SENT} where there is none */
+    /**
+     * @param status the HTTP status; {@link #NO_ANSWER} or {@link #NOT_SENT} where there is none
+     */
     void done(int status, byte[] body);
   }
 
--- a/src/main/java/org/baygw/control/core/TokenBucket.java
+++ b/src/main/java/org/baygw/control/core/TokenBucket.java
@@ -14,7 +14,9 @@
     this.level = this.burst;
   }
 
-  /** Takes n tokens if they are there. A call larger than the whole burst passes when it is full. */
+  /**
+   * Takes n tokens if they are there. A call larger than the whole burst passes when it is full.
+   */
   public boolean take(long now, double n) {
     fill(now);
     if (now < restUntil || level < Math.min(n, burst)) {
--- a/src/main/java/org/baygw/control/fleet/Fleet.java
+++ b/src/main/java/org/baygw/control/fleet/Fleet.java
@@ -32,8 +32,8 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * Rents and returns machines, at the desk. A booking's name is durable before the cloud hears of it,
- * and a machine is marked as draining before it is returned.
+ * Rents and returns machines, at the desk. A booking's name is durable before the cloud hears of
+ * it, and a machine is marked as draining before it is returned.
  */
 public final class Fleet {
   private static final Logger LOG = LoggerFactory.getLogger(Fleet.class);
@@ -79,8 +79,8 @@
 
   /**
    * Bookings whose record is being written. They count like the written ones, or what they are for
-   * would be booked again with every other write that ends, and without end while the state service is
-   * out.
+   * would be booked again with every other write that ends, and without end while the state service
+   * is out.
    */
   private final Map<String, View.Rental> unwritten = new LinkedHashMap<>();
 
@@ -97,6 +97,7 @@
 
   /** Machines the cloud has taken back, until that is durable and they are off the list. */
   private final Set<String> gone = new HashSet<>();
+
   /** Machines given back that the cloud may still list. */
   private final Set<String> returned = new HashSet<>();
 
@@ -208,7 +209,9 @@
     }
   }
 
-  /** Sends bookings that have no answer yet, also those of a former desk: the name makes it safe. */
+  /**
+   * Sends bookings that have no answer yet, also those of a former desk: the name makes it safe.
+   */
   private void rentals(long now) {
     for (Map.Entry<String, View.Entry<View.Rental>> e : view.rentals.entrySet()) {
       String name = e.getKey();
@@ -310,14 +313,18 @@
       if (returned.contains(l.name())) {
         continue; // the list lags: the cloud has taken it back
       }
-      if (type != null && !l.status().equals("failed") && !view.machines.containsKey(l.name())
-          && !view.drains.containsKey(l.name()) && !draining.contains(l.name())) {
+      if (type != null
+          && !l.status().equals("failed")
+          && !view.machines.containsKey(l.name())
+          && !view.drains.containsKey(l.name())
+          && !draining.contains(l.name())) {
         if (age(l, now) > type.bootS() * Constants.BOOT_GIVE_UP) {
           drain(l.name(), l.zone(), View.Drain.GIVEN_UP);
         } else {
           rooms.add(Room.empty(l.name(), type, l.zone(), l.spot()));
         }
-      } else if (l.status().equals("failed") && !view.drains.containsKey(l.name())
+      } else if (l.status().equals("failed")
+          && !view.drains.containsKey(l.name())
           && !draining.contains(l.name())) {
         drain(l.name(), l.zone(), View.Drain.GIVEN_UP);
       }
@@ -390,13 +397,17 @@
           }
           // Spot machines that all are taken come free sooner than a dearer one boots, in a short
           // burst; one that lasts is worth it.
-          if (!spot && s.spot() && !s.service() && t.spotPrice() < t.price()
+          if (!spot
+              && s.spot()
+              && !s.service()
+              && t.spotPrice() < t.price()
               && u.waitedMs() < t.bootS() * 1000 * Constants.DEARER_BOOTS) {
             continue;
           }
           double price = (spot ? t.spotPrice() : t.price()) / t.cpus();
           int count = wanted.getOrDefault(k, 0);
-          if (best == null || price < bestPrice - Constants.EPS
+          if (best == null
+              || price < bestPrice - Constants.EPS
               || price < bestPrice + Constants.EPS && count < bestCount) {
             best = k;
             bestPrice = price;
@@ -447,12 +458,12 @@
         silent.merge(m.zone(), 1, Integer::sum);
       }
     }
-    // A zone is cut off as a whole: what counts is its own share, and whether its controllers are lost.
+    // A zone is cut off as a whole: what counts is its own share, and whether its controllers are
+    // lost.
     Set<String> cut = new HashSet<>();
     silent.forEach(
         (zone, n) -> {
-          if (n > 2
-              && (n > all.get(zone) * Constants.SILENT_SHARE_MAX || membership.lost(zone))) {
+          if (n > 2 && (n > all.get(zone) * Constants.SILENT_SHARE_MAX || membership.lost(zone))) {
             cut.add(zone);
             cutAt.put(zone, now);
           }
@@ -468,8 +479,7 @@
         drain(m.name(), m.zone(), View.Drain.GIVEN_UP);
         continue;
       }
-      if (m.condition() == Machine.Condition.SILENT
-          || m.condition() == Machine.Condition.SICK) {
+      if (m.condition() == Machine.Condition.SILENT || m.condition() == Machine.Condition.SICK) {
         continue;
       }
       if (!m.tasks().isEmpty() || !view.unplaced(m.part()).isEmpty()) {
@@ -490,9 +500,9 @@
   }
 
   /**
-   * Whether a task that found no room could run on the empty machine, which is then about to get it.
-   * One that suits none of them is not kept: it costs, and where the cloud has no more machines to give
-   * it stands in the way of those that are missing.
+   * Whether a task that found no room could run on the empty machine, which is then about to get
+   * it. One that suits none of them is not kept: it costs, and where the cloud has no more machines
+   * to give it stands in the way of those that are missing.
    */
   private boolean wanted(Machine m) {
     MachineType type = view.type(m.type());
@@ -512,7 +522,8 @@
     long silent = now - silentSince.get(m.name());
     if (!cut) {
       double reportMs = settings.workers().reportS() * 1000;
-      return now - cutAt.getOrDefault(m.zone(), Long.MIN_VALUE / 2) < reportMs * Constants.SILENT_AFTER_CUT
+      return now - cutAt.getOrDefault(m.zone(), Long.MIN_VALUE / 2)
+              < reportMs * Constants.SILENT_AFTER_CUT
           || silent < reportMs * Constants.SILENT_REPORTS;
     }
     long limit = Constants.SILENT_KEEP_MS;
@@ -570,11 +581,7 @@
     ObjectNode v = Json.object();
     next.forEach((m, d) -> v.put(m, d.name()));
     String key = Keys.drain(part);
-    Txn txn =
-        new Txn()
-            .when(Keys.claim(Keys.DESK), claim)
-            .when(key, view.stamp(key))
-            .put(key, v);
+    Txn txn = new Txn().when(Keys.claim(Keys.DESK), claim).when(key, view.stamp(key)).put(key, v);
     cordons.forEach(m -> txn.delete(Keys.cordon(m)));
     busyLists.add(part);
     store.settle(
@@ -602,7 +609,9 @@
     return view.revision() >= view.stamp(Keys.drain(part));
   }
 
-  /** Returns what is marked; once the cloud said so, that is durable proof that all on it is gone. */
+  /**
+   * Returns what is marked; once the cloud said so, that is durable proof that all on it is gone.
+   */
   private void returns(long now) {
     List<String> names = new ArrayList<>();
     gone.removeIf(m -> !view.drains.containsKey(m));
@@ -617,7 +626,9 @@
       view.drains(part)
           .forEach(
               (name, d) -> {
-                if (d != View.Drain.GONE && !gone.contains(name) && names.size() < Constants.MAX_RETURN) {
+                if (d != View.Drain.GONE
+                    && !gone.contains(name)
+                    && names.size() < Constants.MAX_RETURN) {
                   names.add(name);
                 }
               });
--- a/src/main/java/org/baygw/control/jobs/Jobs.java
+++ b/src/main/java/org/baygw/control/jobs/Jobs.java
@@ -23,8 +23,8 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * The users' API, at every controller. Accepting and cancelling are conditional writes, answered after
- * the write; every other answer comes from a copy made current first, unless it is final.
+ * The users' API, at every controller. Accepting and cancelling are conditional writes, answered
+ * after the write; every other answer comes from a copy made current first, unless it is final.
  */
 public final class Jobs {
   private static final Logger LOG = LoggerFactory.getLogger(Jobs.class);
@@ -39,8 +39,7 @@
   private final Peers peers;
   private int waiting;
 
-  public Jobs(
-      Clock clock, Outbox out, Settings settings, Store store, View view, Peers peers) {
+  public Jobs(Clock clock, Outbox out, Settings settings, Store store, View view, Peers peers) {
     this.peers = peers;
     this.clock = clock;
     this.out = out;
@@ -176,7 +175,9 @@
     boolean fits = false;
     for (MachineType t : view.types) {
       fits |=
-          t.holds(s) && s.typeAllowed(t.name()) && (s.zone() == null || t.zones().contains(s.zone()));
+          t.holds(s)
+              && s.typeAllowed(t.name())
+              && (s.zone() == null || t.zones().contains(s.zone()));
     }
     if (!fits) {
       return "no allowed machine type holds a task";
@@ -303,9 +304,6 @@
 
   private void later(long request, int status, String why) {
     out.answer(
-        request,
-        status,
-        Json.bytes(Json.object().put("error", why)),
-        Constants.RETRY_AFTER_S);
+        request, status, Json.bytes(Json.object().put("error", why)), Constants.RETRY_AFTER_S);
   }
 }
--- a/src/main/java/org/baygw/control/jobs/SubmissionCodec.java
+++ b/src/main/java/org/baygw/control/jobs/SubmissionCodec.java
@@ -37,7 +37,9 @@
           default -> throw new Malformed("rank");
         };
     JsonNode tasks = n.path("chores");
-    if (!tasks.isIntegralNumber() || !tasks.canConvertToInt() || tasks.asInt() < 1
+    if (!tasks.isIntegralNumber()
+        || !tasks.canConvertToInt()
+        || tasks.asInt() < 1
         || tasks.asInt() > MAX_TASKS) {
       throw new Malformed("chores");
     }
@@ -86,8 +88,12 @@
     for (int i = 0; i < id.length(); i++) {
       char c = id.charAt(i);
       boolean ok =
-          c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z' || c >= '0' && c <= '9' || c == '-'
-              || c == '_' || c == '.';
+          c >= 'a' && c <= 'z'
+              || c >= 'A' && c <= 'Z'
+              || c >= '0' && c <= '9'
+              || c == '-'
+              || c == '_'
+              || c == '.';
       if (!ok) {
         return false;
       }
--- a/src/main/java/org/baygw/control/membership/CancellationHorizon.java
+++ b/src/main/java/org/baygw/control/membership/CancellationHorizon.java
@@ -8,11 +8,12 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * Up to when this controller knows of every cancellation that any controller may have told a user of,
- * and whether that is recent enough to renew a worker's lease. A worker whose report is answered now
- * may keep a task for a lease from now; a cancellation that is not known here was confirmed after the
- * horizon. So while a report is answered with 200 only with a horizon at most {@code cancel_s − lease_s
- * − margin} old, every task of a cancelled job is gone in time even if no kill ever reaches it.
+ * Up to when this controller knows of every cancellation that any controller may have told a user
+ * of, and whether that is recent enough to renew a worker's lease. A worker whose report is
+ * answered now may keep a task for a lease from now; a cancellation that is not known here was
+ * confirmed after the horizon. So while a report is answered with 200 only with a horizon at most
+ * {@code cancel_s − lease_s − margin} old, every task of a cancelled job is gone in time even if no
+ * kill ever reaches it.
  */
 public final class CancellationHorizon {
   private static final Logger LOG = LoggerFactory.getLogger(CancellationHorizon.class);
@@ -48,30 +49,31 @@
   }
 
   /**
-   * Whether another controller may have taken this one's claims over: the copy has not been current for
-   * a hold's life, and it is not an outage as far as most controllers can tell. An answer after a long
-   * silence is no reason yet: the copy may still lack the takeover.
+   * Whether another controller may have taken this one's claims over: the copy has not been current
+   * for a hold's life, and it is not an outage as far as most controllers can tell. An answer after
+   * a long silence is no reason yet: the copy may still lack the takeover.
    */
   public boolean mayBeReplaced() {
     return !copyIsCurrent() && !outageForMost();
   }
 
   /**
-   * Whether the state service is out for this controller and most of the others, none of which fares
-   * better: then no claim changes hands.
+   * Whether the state service is out for this controller and most of the others, none of which
+   * fares better: then no claim changes hands.
    */
   public boolean outageForMost() {
     int lives = 1;
     for (Settings.Peer p : settings.peers()) {
       lives += lives(p.label()) ? 1 : 0;
     }
-    return store.lastContact() < longAgo() && !peers.refusedAlone()
+    return store.lastContact() < longAgo()
+        && !peers.refusedAlone()
         && 2 * lives > settings.peers().size() + 1;
   }
 
   /**
-   * Whether a controller can be sure of its claims as far as this one can tell: it has lately told of
-   * itself, and the state service did not turn away from it alone before it was out for all.
+   * Whether a controller can be sure of its claims as far as this one can tell: it has lately told
+   * of itself, and the state service did not turn away from it alone before it was out for all.
    */
   public boolean acts(String label) {
     return label.equals(settings.label()) || lives(label) && !peers.behind(label);
@@ -86,6 +88,8 @@
   }
 
   private long knownUntil() {
-    return store.loaded() ? Math.max(store.currentAsOf(), peers.vouchedUntil()) : Long.MIN_VALUE / 2;
+    return store.loaded()
+        ? Math.max(store.currentAsOf(), peers.vouchedUntil())
+        : Long.MIN_VALUE / 2;
   }
 }
--- a/src/main/java/org/baygw/control/membership/Membership.java
+++ b/src/main/java/org/baygw/control/membership/Membership.java
@@ -22,8 +22,8 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * Which controllers live, and who holds which part and the desk. A claim's stamp fences every durable
- * change made under it; the hold behind it only decides when others may try to take over.
+ * Which controllers live, and who holds which part and the desk. A claim's stamp fences every
+ * durable change made under it; the hold behind it only decides when others may try to take over.
  */
 public final class Membership {
   private static final Logger LOG = LoggerFactory.getLogger(Membership.class);
@@ -69,20 +69,23 @@
   }
 
   /**
-   * The claim's stamp if this process holds it, else 0. A claim counts only once the view has reached
-   * it: before that, the last writes of its former holder could be missing from the view.
+   * The claim's stamp if this process holds it, else 0. A claim counts only once the view has
+   * reached it: before that, the last writes of its former holder could be missing from the view.
    */
   public long owned(String claim) {
     View.Entry<View.Claim> c = view.claims.get(claim);
-    return c != null && hold != 0 && c.value().hold() == hold && view.revision() >= c.stamp()
+    return c != null
+            && hold != 0
+            && c.value().hold() == hold
+            && view.revision() >= c.stamp()
             && c.stamp() > overtaken.getOrDefault(claim, 0L)
         ? c.stamp()
         : 0;
   }
 
   /**
-   * A worker of the part has shown a newer claim's token: whatever this controller's copy says, which
-   * the state service may refuse to renew, its own claim is over.
+   * A worker of the part has shown a newer claim's token: whatever this controller's copy says,
+   * which the state service may refuse to renew, its own claim is over.
    */
   public void overtaken(Part p, long stamp) {
     if (overtaken.merge(p.toString(), stamp, Math::max) == stamp) {
@@ -156,7 +159,8 @@
     busy = true;
     View.Entry<View.Member> before = view.members.get(settings.label());
     if (before != null && before.value().hold() != ended) {
-      // The hold of this controller's former process, which has ended: its claims come free at once.
+      // The hold of this controller's former process, which has ended: its claims come free at
+      // once.
       long old = before.value().hold();
       store.request(
           Store.Urgency.HOLD,
@@ -230,10 +234,7 @@
   }
 
   private ObjectNode me(long held, boolean reaches) {
-    return Json.object()
-        .put("zone", settings.zone())
-        .put("hold", held)
-        .put("reaches", reaches);
+    return Json.object().put("zone", settings.zone()).put("hold", held).put("reaches", reaches);
   }
 
   /** Whether this controller counts as one that reaches the workers of its zone. */
@@ -246,15 +247,17 @@
   public boolean othersReach() {
     for (Map.Entry<String, View.Entry<View.Member>> e : view.members.entrySet()) {
       View.Member m = e.getValue().value();
-      if (!e.getKey().equals(settings.label()) && m.zone().equals(settings.zone())
-          && m.reaches()) {
+      if (!e.getKey().equals(settings.label()) && m.zone().equals(settings.zone()) && m.reaches()) {
         return true;
       }
     }
     return false;
   }
 
-  /** Makes it known that this controller does not reach its workers, so that others take them, or does. */
+  /**
+   * Makes it known that this controller does not reach its workers, so that others take them, or
+   * does.
+   */
   public void reaches(boolean can) {
     String key = Keys.member(settings.label());
     View.Entry<View.Member> e = view.members.get(settings.label());
@@ -293,8 +296,7 @@
             ended = touched;
           }
           nextTouch =
-              clock.now()
-                  + (status == 200 ? Constants.HOLD_TOUCH_MS : Constants.STATE_RETRY_MS);
+              clock.now() + (status == 200 ? Constants.HOLD_TOUCH_MS : Constants.STATE_RETRY_MS);
         });
   }
 
@@ -311,9 +313,7 @@
         if (settings.label().equals(best)) {
           wanted.add(p.toString());
         }
-      } else if (owned(p) != 0
-          && !settings.label().equals(settled.get(p))
-          && give.writes() == 0) {
+      } else if (owned(p) != 0 && !settings.label().equals(settled.get(p)) && give.writes() == 0) {
         give.when(Keys.claim(p.toString()), c.stamp()).delete(Keys.claim(p.toString()));
       }
     }
@@ -346,9 +346,9 @@
   }
 
   /**
-   * Who counts when parts are taken. When all controllers come back together the first must not take
-   * everything, only to be overrun by all workers and to hand most of it on: for a moment those that
-   * are still to come count as well.
+   * Who counts when parts are taken. When all controllers come back together the first must not
+   * take everything, only to be overrun by all workers and to hand most of it on: for a moment
+   * those that are still to come count as well.
    */
   private Set<String> expected() {
     Set<String> out = able(view.members.keySet());
@@ -377,8 +377,8 @@
   }
 
   /**
-   * Who is likely to have a machine's part, as far as the settings tell: a hint for workers that come
-   * before this controller has read the keys. Null where that is this controller itself.
+   * Who is likely to have a machine's part, as far as the settings tell: a hint for workers that
+   * come before this controller has read the keys. Null where that is this controller itself.
    */
   public String likelyOwner(String machine, String zone) {
     Set<String> all = new HashSet<>();
@@ -391,8 +391,7 @@
 
   private int initialPartsPerZone() {
     int controllers = settings.peers().size() + 1;
-    return (int)
-        Math.ceil(controllers * Constants.PARTS_PER_CONTROLLER / settings.zones().size());
+    return (int) Math.ceil(controllers * Constants.PARTS_PER_CONTROLLER / settings.zones().size());
   }
 
   private String zoneOf(String label) {
@@ -473,12 +472,12 @@
     for (String m : among) {
       boolean near = zoneOf(m).equals(zone);
       int score =
-          Hashing.murmur3_32_fixed()
-              .hashString(claim + "|" + m, StandardCharsets.UTF_8)
-              .asInt();
+          Hashing.murmur3_32_fixed().hashString(claim + "|" + m, StandardCharsets.UTF_8).asInt();
       boolean better =
           best == null
-              || (near != bestNear ? near : score != bestScore ? score > bestScore : m.compareTo(best) < 0);
+              || (near != bestNear
+                  ? near
+                  : score != bestScore ? score > bestScore : m.compareTo(best) < 0);
       if (better) {
         best = m;
         bestNear = near;
--- a/src/main/java/org/baygw/control/membership/Peers.java
+++ b/src/main/java/org/baygw/control/membership/Peers.java
@@ -23,10 +23,10 @@
 import org.baygw.control.store.View;
 
 /**
- * What controllers tell each other, in Avro. Hints only for whatever is durable: they say when to look
- * at the state service again, and whether it is only this controller that it refuses. Cancellations go
- * with them, since a durable one is final and may be acted on at once; and an answer vouches that the
- * sibling knew of no other at the time at which it was asked.
+ * What controllers tell each other, in Avro. Hints only for whatever is durable: they say when to
+ * look at the state service again, and whether it is only this controller that it refuses.
+ * Cancellations go with them, since a durable one is final and may be acted on at once; and an
+ * answer vouches that the sibling knew of no other at the time at which it was asked.
  */
 public final class Peers {
   public static final String PATH = "/peer/status";
@@ -79,7 +79,8 @@
           (status, body) -> {
             PeerStatus s = status == 200 ? learn(body) : null;
             if (s != null && s.getVouches() && s.getLabel().equals(p.label())) {
-              // What it had told users of when it answered, it lists; so it holds for the sending time.
+              // What it had told users of when it answered, it lists; so it holds for the sending
+              // time.
               vouched.merge(p.label(), now, Math::max);
             }
           });
@@ -92,9 +93,9 @@
   }
 
   /**
-   * Every cancellation that a sibling may have told a user of before this time is known here: each of
-   * them has vouched for it. A sibling that is gone, or has not read all keys since it started, vouches
-   * for nothing.
+   * Every cancellation that a sibling may have told a user of before this time is known here: each
+   * of them has vouched for it. A sibling that is gone, or has not read all keys since it started,
+   * vouches for nothing.
    */
   long vouchedUntil() {
     long until = clock.now();
@@ -121,7 +122,8 @@
 
   /** True if another controller reaches the state service while this one does not. */
   public boolean refusedAlone() {
-    // Compared as times, not ages: in an outage all were answered last at about the same moment, and
+    // Compared as times, not ages: in an outage all were answered last at about the same moment,
+    // and
     // an old status from just before it must not make that look like a refusal of this one.
     for (Seen s : seen.values()) {
       if (s.at() - s.stateAgeMs() - store.lastContact() > Constants.ALONE_MS) {
--- a/src/main/java/org/baygw/control/model/Job.java
+++ b/src/main/java/org/baygw/control/model/Job.java
@@ -5,8 +5,8 @@
 /**
  * An accepted job: its key's value. The time of day of acceptance serves deadlines only.
  *
- * @param cancelledMs time of day at which the cancellation was written, before any user was told of it;
- *     0 where the job is not cancelled
+ * @param cancelledMs time of day at which the cancellation was written, before any user was told of
+ *     it; 0 where the job is not cancelled
  */
 public record Job(JobSpec spec, State state, long acceptedMs, long cancelledMs) {
   /** Durable states; the final ones never change. */
--- a/src/main/java/org/baygw/control/model/Params.java
+++ b/src/main/java/org/baygw/control/model/Params.java
@@ -23,7 +23,9 @@
           Constants.SEARCH_NODES,
           Constants.AGE_LIMIT_S);
 
-  /** Reads what is given over these; throws IllegalArgumentException naming a field out of range. */
+  /**
+   * Reads what is given over these; throws IllegalArgumentException naming a field out of range.
+   */
   public Params with(JsonNode n) {
     return new Params(
         number(n, "alpha", alpha, 1e-3, 1e6),
--- a/src/main/java/org/baygw/control/model/Records.java
+++ b/src/main/java/org/baygw/control/model/Records.java
@@ -11,7 +11,9 @@
 import java.util.Map;
 import org.baygw.control.core.Json;
 
-/** How the records stand in the state service. Reading throws IllegalArgumentException on nonsense. */
+/**
+ * How the records stand in the state service. Reading throws IllegalArgumentException on nonsense.
+ */
 public final class Records {
   public static ObjectNode job(Job j) {
     JobSpec s = j.spec();
@@ -147,7 +149,10 @@
   public static Roster roster(JsonNode n) {
     object(n);
     return new Roster(
-        n.path("pages").asInt(1), texts(n.path("on")), texts(n.path("conditions")), texts(n.path("done")),
+        n.path("pages").asInt(1),
+        texts(n.path("on")),
+        texts(n.path("conditions")),
+        texts(n.path("done")),
         texts(n.path("back")));
   }
 
--- a/src/main/java/org/baygw/control/model/Roster.java
+++ b/src/main/java/org/baygw/control/model/Roster.java
@@ -9,10 +9,10 @@
 import org.baygw.control.Constants;
 
 /**
- * A page of a part's record: the tasks that may be on each of its machines, the machines that are not
- * fit for more, and the tasks that have ended there but stand in their job's progress still. Lists of
- * tasks are kept as text, so that a reader looks only into those that changed. How many pages the
- * record has stands on each of them, and is read from the first.
+ * A page of a part's record: the tasks that may be on each of its machines, the machines that are
+ * not fit for more, and the tasks that have ended there but stand in their job's progress still.
+ * Lists of tasks are kept as text, so that a reader looks only into those that changed. How many
+ * pages the record has stands on each of them, and is read from the first.
  */
 public record Roster(
     int pages,
@@ -36,8 +36,8 @@
   }
 
   /**
-   * The page that a machine stands on. With twice the pages a machine stays where it is or goes to the
-   * page that came with its own. The hash is not the one that chose the part.
+   * The page that a machine stands on. With twice the pages a machine stays where it is or goes to
+   * the page that came with its own. The hash is not the one that chose the part.
    */
   public static int pageOf(String machine, int pages) {
     return pages == 1
--- a/src/main/java/org/baygw/control/net/SelfCheck.java
+++ b/src/main/java/org/baygw/control/net/SelfCheck.java
@@ -16,8 +16,9 @@
 import org.baygw.control.core.Json;
 
 /**
- * Starts a controller on loopback against a stand-in that agrees to everything, takes one job through
- * it, and ends. Shows that the program runs here; the build also collects the classes of a start by it.
+ * Starts a controller on loopback against a stand-in that agrees to everything, takes one job
+ * through it, and ends. Shows that the program runs here; the build also collects the classes of a
+ * start by it.
  */
 public final class SelfCheck {
   private static final int TRIES = 100;
@@ -99,7 +100,9 @@
     return status;
   }
 
-  /** The state service and the cloud in one: every condition holds, and nothing else ever changes. */
+  /**
+   * The state service and the cloud in one: every condition holds, and nothing else ever changes.
+   */
   private void answer(HttpExchange x) throws IOException {
     JsonNode in = Json.parse(x.getRequestBody().readAllBytes());
     String path = x.getRequestURI().getPath();
--- a/src/main/java/org/baygw/control/net/Shell.java
+++ b/src/main/java/org/baygw/control/net/Shell.java
@@ -43,8 +43,7 @@
 
   private final Settings settings;
   private final Controller core;
-  private final EventLoopGroup loop =
-      new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+  private final EventLoopGroup loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
   private final HttpClient client = new HttpClient(loop);
   private final Map<Long, Pending> pending = new HashMap<>();
   private long requests;
--- a/src/main/java/org/baygw/control/placement/BranchAndBound.java
+++ b/src/main/java/org/baygw/control/placement/BranchAndBound.java
@@ -8,7 +8,8 @@
 /**
  * The design's search: place the tasks so that alpha times active machines plus mu times moves is
  * least, with at most K moves. After Bartók and Mann (2015), section V; see docs/DESIGN.md. Runs in
- * steps, so that a controller answers others in between, and always holds the best placement so far.
+ * steps, so that a controller answers others in between, and always holds the best placement so
+ * far.
  */
 public final class BranchAndBound {
   /** A machine: room left by tasks that stay, and whether there are any. */
@@ -55,8 +56,7 @@
   private double bestCost;
   private boolean improved;
 
-  public BranchAndBound(
-      List<Host> hosts, List<Item> items, double alpha, double mu, int maxMoves) {
+  public BranchAndBound(List<Host> hosts, List<Item> items, double alpha, double mu, int maxMoves) {
     if (!(alpha > 0) || !(mu > 0)) {
       throw new IllegalArgumentException("alpha and mu must be above zero");
     }
@@ -227,7 +227,9 @@
     return cost;
   }
 
-  /** First fail: the task with the fewest possible machines; the largest single resource on ties. */
+  /**
+   * First fail: the task with the fewest possible machines; the largest single resource on ties.
+   */
   private int select() {
     int chosen = -1;
     int fewest = Integer.MAX_VALUE;
--- a/src/main/java/org/baygw/control/placement/Room.java
+++ b/src/main/java/org/baygw/control/placement/Room.java
@@ -122,7 +122,9 @@
   }
 
   public static boolean allowed(JobSpec s, String type, String zone, boolean spot) {
-    return s.typeAllowed(type) && (s.zone() == null || s.zone().equals(zone)) && (s.spot() || !spot);
+    return s.typeAllowed(type)
+        && (s.zone() == null || s.zone().equals(zone))
+        && (s.spot() || !spot);
   }
 
   /** Gives back what a task takes here. */
@@ -135,8 +137,8 @@
 
   /**
    * How well the machine suits, among those that fit. For a service its image comes first, for it
-   * starts at once then; for others the spot machines, which leave the rest to those that need them.
-   * An empty machine is begun last, as in the search.
+   * starts at once then; for others the spot machines, which leave the rest to those that need
+   * them. An empty machine is begun last, as in the search.
    */
   public int rank(JobSpec s) {
     int image = machine.images().contains(s.image()) ? 1 : 0;
@@ -145,9 +147,10 @@
   }
 
   /**
-   * Whether the task is better put here than there. Among machines that suit as well the one with the
-   * least room left, as in the search, so that others empty; then the oldest for services, which
-   * stay, and the newest for arrays, which soon leave. Machines are to be compared in order of age.
+   * Whether the task is better put here than there. Among machines that suit as well the one with
+   * the least room left, as in the search, so that others empty; then the oldest for services,
+   * which stay, and the newest for arrays, which soon leave. Machines are to be compared in order
+   * of age.
    */
   public boolean better(Room than, JobSpec s) {
     int a = rank(s);
--- a/src/main/java/org/baygw/control/quota/FreeCapacity.java
+++ b/src/main/java/org/baygw/control/quota/FreeCapacity.java
@@ -18,7 +18,10 @@
 import org.baygw.control.placement.Rooms;
 import org.baygw.control.store.View;
 
-/** What the partitions have free in one pass, less what was granted to them and is on no machine yet. */
+/**
+ * What the partitions have free in one pass, less what was granted to them and is on no machine
+ * yet.
+ */
 final class FreeCapacity {
   /** A machine that has room for a task, and its partition. */
   record Place(Part part, Room room) {}
@@ -56,7 +59,8 @@
     for (String name : view.machinesOf(part)) {
       Machine machine = view.machines.get(name).value();
       boolean usable =
-          machine.condition() == Machine.Condition.OK && !view.drains.containsKey(name)
+          machine.condition() == Machine.Condition.OK
+              && !view.drains.containsKey(name)
               && (fullPages.isEmpty() || !fullPages.contains(Roster.pageOf(name, pages)));
       Room room = usable ? cache.of(machine) : null;
       if (room != null) {
@@ -96,7 +100,9 @@
         });
   }
 
-  /** The partition with the most free room among those that have a machine for the task, or null. */
+  /**
+   * The partition with the most free room among those that have a machine for the task, or null.
+   */
   Place roomiest(JobSpec spec, int[] zoneLive, Set<Part> avoided) {
     String only = zones.only(spec, zoneLive);
     Place best = null;
@@ -105,7 +111,8 @@
     for (Map.Entry<Part, List<Room>> entry : rooms.entrySet()) {
       Part part = entry.getKey();
       int zone = zones.index(part.zone());
-      if (zone < 0 || only != null && !only.equals(part.zone())
+      if (zone < 0
+          || only != null && !only.equals(part.zone())
           || !zones.hasShareLeft(spec, zone, zoneLive)) {
         continue;
       }
--- a/src/main/java/org/baygw/control/quota/JobWrites.java
+++ b/src/main/java/org/baygw/control/quota/JobWrites.java
@@ -9,9 +9,9 @@
 import org.baygw.control.store.Txn;
 
 /**
- * The scheduler's writes that are under way, one for each job at most. What they grant counts until it
- * is certain how they ended: the tasks against their team's limit, and the room that they take, or the
- * next pass would give the same room away again.
+ * The scheduler's writes that are under way, one for each job at most. What they grant counts until
+ * it is certain how they ended: the tasks against their team's limit, and the room that they take,
+ * or the next pass would give the same room away again.
  */
 final class JobWrites {
   private final Store store;
@@ -47,8 +47,7 @@
   /** Adds the tasks that are being granted to a partition to a count of tasks by job. */
   void addGrantsTo(Part partition, Map<String, Integer> tasksByJob) {
     partitions.forEach(
-        (job, counts) ->
-            tasksByJob.merge(job, counts.getOrDefault(partition, 0), Integer::sum));
+        (job, counts) -> tasksByJob.merge(job, counts.getOrDefault(partition, 0), Integer::sum));
   }
 
   /** A write that grants tasks. */
--- a/src/main/java/org/baygw/control/quota/PartitionAvoidance.java
+++ b/src/main/java/org/baygw/control/quota/PartitionAvoidance.java
@@ -14,8 +14,8 @@
 import org.baygw.control.store.View;
 
 /**
- * Which partitions gave a job's tasks back without having placed them. Only the partition's owner knows
- * why, such as a machine that fails them all, and its room would draw them there for ever.
+ * Which partitions gave a job's tasks back without having placed them. Only the partition's owner
+ * knows why, such as a machine that fails them all, and its room would draw them there for ever.
  */
 final class PartitionAvoidance {
   private final Clock clock;
@@ -63,7 +63,10 @@
   private boolean cameBackUnplaced(TaskId task) {
     View.Entry<Job> job = view.jobs.get(task.job());
     Progress progress = view.progress(task.job(), task.index() / Constants.CHUNK_TASKS);
-    return job != null && job.value().open() && progress != null
-        && !progress.done.get(task.index()) && !view.places.containsKey(task);
+    return job != null
+        && job.value().open()
+        && progress != null
+        && !progress.done.get(task.index())
+        && !view.places.containsKey(task);
   }
 }
--- a/src/main/java/org/baygw/control/quota/Preemption.java
+++ b/src/main/java/org/baygw/control/quota/Preemption.java
@@ -30,10 +30,10 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * Makes room as the protocol allows, by stopping work of lower priority, or for a guarantee what another
- * team borrows. That is done for production jobs, for jobs that have waited long for their team's
- * guarantee, and at once where the work of a guest can be stopped without loss: nothing is guaranteed to
- * a guest, so it cannot take the room back, and teams do not take turns.
+ * Makes room as the protocol allows, by stopping work of lower priority, or for a guarantee what
+ * another team borrows. That is done for production jobs, for jobs that have waited long for their
+ * team's guarantee, and at once where the work of a guest can be stopped without loss: nothing is
+ * guaranteed to a guest, so it cannot take the room back, and teams do not take turns.
  */
 final class Preemption {
   private static final Logger LOG = LoggerFactory.getLogger(Preemption.class);
@@ -56,7 +56,9 @@
   /** Seconds since this scheduler granted a task; endless where a former one did. */
   private final ToDoubleFunction<TaskId> grantAgeS;
 
-  /** Tasks whose stop is being written: their room counts as coming free, or more would be stopped. */
+  /**
+   * Tasks whose stop is being written: their room counts as coming free, or more would be stopped.
+   */
   private final Set<TaskId> stopping = new HashSet<>();
 
   /** Where the look for what to stop begins, so that each machine has its turn. */
@@ -83,8 +85,8 @@
   }
 
   /**
-   * Stops tasks for what found no room. Demand that is covered that way leaves the list, so that nothing
-   * is rented for it.
+   * Stops tasks for what found no room. Demand that is covered that way leaves the list, so that
+   * nothing is rented for it.
    *
    * @param guaranteed the unfinished jobs that fit into their teams' guarantees
    */
@@ -147,8 +149,8 @@
     }
 
     /**
-     * Where one of the tasks could come, by stopping what: on machines that have its image, and where
-     * too few do on others. The cheapest of some is nearly as good as the cheapest of all.
+     * Where one of the tasks could come, by stopping what: on machines that have its image, and
+     * where too few do on others. The cheapest of some is nearly as good as the cheapest of all.
      */
     private Map<Room, Stops> options(UnmetDemand demand) {
       Map<Room, Stops> found = new LinkedHashMap<>();
@@ -241,8 +243,8 @@
 
     /**
      * Whether the task is a guest's, saves its work, and is of lower priority or in the way of a
-     * guarantee. Each of a guest's jobs keeps a task, and each start its first half minute, or a job
-     * that has begun would count as one that has not.
+     * guarantee. Each of a guest's jobs keeps a task, and each start its first half minute, or a
+     * job that has begun would count as one that has not.
      */
     private boolean isGuestThatYields(UnmetDemand demand, Victim victim, List<Victim> chosen) {
       JobSpec other = victim.spec();
@@ -262,8 +264,8 @@
     }
 
     /**
-     * Whether the task is beyond its team's guarantee, which may be taken back for a job that reclaims
-     * its own; no more of it than is beyond.
+     * Whether the task is beyond its team's guarantee, which may be taken back for a job that
+     * reclaims its own; no more of it than is beyond.
      */
     private boolean isBorrowed(UnmetDemand demand, Victim victim, List<Victim> chosen) {
       JobSpec other = victim.spec();
@@ -325,7 +327,9 @@
     return found;
   }
 
-  /** What could be stopped on a machine, cheapest first; what stops already is taken off its room. */
+  /**
+   * What could be stopped on a machine, cheapest first; what stops already is taken off its room.
+   */
   private List<Victim> victims(Room room) {
     List<Victim> found = new ArrayList<>();
     for (TaskId task : room.machine().tasks().keySet()) {
@@ -346,8 +350,8 @@
   }
 
   /**
-   * What stopping a task costs, in seconds: the work it loses, or the time it takes to save, in which
-   * the one that needs the room waits.
+   * What stopping a task costs, in seconds: the work it loses, or the time it takes to save, in
+   * which the one that needs the room waits.
    */
   private double cost(TaskId task, JobSpec spec) {
     return spec.checkpoints()
--- a/src/main/java/org/baygw/control/quota/ProgressFolding.java
+++ b/src/main/java/org/baygw/control/quota/ProgressFolding.java
@@ -16,8 +16,8 @@
 import org.baygw.control.store.View;
 
 /**
- * Takes ended tasks over into their jobs' progress where a partition's record grows large. Elsewhere
- * that costs no write: it comes with the job's next grant, or the job is done first.
+ * Takes ended tasks over into their jobs' progress where a partition's record grows large.
+ * Elsewhere that costs no write: it comes with the job's next grant, or the job is done first.
  */
 final class ProgressFolding {
   private final Settings settings;
@@ -38,7 +38,9 @@
     for (String job : jobsInLargeRecords()) {
       TreeMap<Integer, View.Entry<Progress>> chunks = view.progress.get(job);
       boolean due =
-          view.jobs.containsKey(job) && chunks != null && !writes.busy(job)
+          view.jobs.containsKey(job)
+              && chunks != null
+              && !writes.busy(job)
               && writes.count() <= Constants.FOLDS;
       if (due) {
         Txn txn = fold(job, chunks);
@@ -68,7 +70,8 @@
     chunks.forEach(
         (chunk, entry) -> {
           Progress written = view.written(job, chunk);
-          if (written != null && differs(written, entry.value())
+          if (written != null
+              && differs(written, entry.value())
               && txn.writes() < settings.state().txnOps()) {
             String key = Keys.progress(job, chunk);
             txn.when(key, view.stamp(key)).put(key, Records.progress(entry.value()));
--- a/src/main/java/org/baygw/control/quota/QueuedJob.java
+++ b/src/main/java/org/baygw/control/quota/QueuedJob.java
@@ -32,12 +32,15 @@
   static final Comparator<QueuedJob> ORDER =
       Comparator.comparing(
               (QueuedJob job) -> job.spec().priority() == JobSpec.Priority.PRODUCTION ? 0 : 1)
-          // First what may stop others, or the room would go to the next in line and be taken again.
+          // First what may stop others, or the room would go to the next in line and be taken
+          // again.
           .thenComparing(job -> job.overdue() ? 0 : 1)
           .thenComparing(job -> job.guaranteed() ? 0 : 1)
           // A guest's idle-time work must crowd out nobody else's, also not what is late already.
-          .thenComparing(job -> job.guest() && job.spec().priority() == JobSpec.Priority.LOW ? 1 : 0)
-          // More jobs are in time if those that can no longer be, and the long ones, let others pass.
+          .thenComparing(
+              job -> job.guest() && job.spec().priority() == JobSpec.Priority.LOW ? 1 : 0)
+          // More jobs are in time if those that can no longer be, and the long ones, let others
+          // pass.
           .thenComparing(QueuedJob::missedAims)
           .thenComparing(job -> job.spec().priority())
           .thenComparing(job -> job.guest() ? 1 : 0)
@@ -46,8 +49,8 @@
           .thenComparing(QueuedJob::id);
 
   /**
-   * Whether it has waited so long with nothing started that it goes before the others: soon within a
-   * guarantee, and later in any case, or large jobs would never begin while small ones come.
+   * Whether it has waited so long with nothing started that it goes before the others: soon within
+   * a guarantee, and later in any case, or large jobs would never begin while small ones come.
    */
   boolean overdue() {
     return idleMs > (guaranteed ? Constants.FIRST_MS : Constants.STARVED_MS);
--- a/src/main/java/org/baygw/control/quota/Scheduler.java
+++ b/src/main/java/org/baygw/control/quota/Scheduler.java
@@ -28,8 +28,8 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * The leader's scheduler: the queue of jobs. It grants tasks to partitions by durable writes; a granted
- * task counts against its team until its partition's owner has proved it gone.
+ * The leader's scheduler: the queue of jobs. It grants tasks to partitions by durable writes; a
+ * granted task counts against its team until its partition's owner has proved it gone.
  */
 public final class Scheduler {
   private static final Logger LOG = LoggerFactory.getLogger(Scheduler.class);
@@ -57,8 +57,7 @@
   private long nextClean;
   private long seenChanges = -1;
 
-  public Scheduler(
-      Clock clock, Settings settings, Store store, View view, Membership membership) {
+  public Scheduler(Clock clock, Settings settings, Store store, View view, Membership membership) {
     this.clock = clock;
     this.settings = settings;
     this.store = store;
@@ -69,8 +68,7 @@
     this.writes = new JobWrites(store, this::passSoon);
     this.avoidance = new PartitionAvoidance(clock, view, membership);
     this.folding = new ProgressFolding(settings, view, membership, writes);
-    this.preemption =
-        new Preemption(settings, view, membership, rooms, writes, this::grantAgeS);
+    this.preemption = new Preemption(settings, view, membership, rooms, writes, this::grantAgeS);
   }
 
   /** Tasks that need machines which are not there. */
@@ -79,8 +77,8 @@
   }
 
   /**
-   * Whether nothing has changed since the pass that found them. Between a change and the next pass a
-   * machine that has just come up would count neither as on its way nor as one that has room.
+   * Whether nothing has changed since the pass that found them. Between a change and the next pass
+   * a machine that has just come up would count neither as on its way nor as one that has room.
    */
   public boolean unmetIsCurrent() {
     return seenChanges == view.changes();
@@ -255,9 +253,7 @@
     private void forgetOld() {
       if (clock.now() >= nextClean) {
         nextClean = clock.now() + Constants.DESK_CLEAN_MS;
-        grantedAt
-            .keySet()
-            .removeIf(task -> view.grant(task) == null && !writes.busy(task.job()));
+        grantedAt.keySet().removeIf(task -> view.grant(task) == null && !writes.busy(task.job()));
       }
       Set<String> ids = new HashSet<>();
       left.forEach(demand -> ids.add(demand.spec().id()));
@@ -351,10 +347,21 @@
     return missed;
   }
 
-  /** What a job asks for of a machine: where one found no room, its like need not look in this pass. */
+  /**
+   * What a job asks for of a machine: where one found no room, its like need not look in this pass.
+   */
   private static String shape(JobSpec spec, String onlyZone) {
-    return spec.cpus() + " " + spec.gpus() + " " + spec.memoryGb() + " " + spec.spot() + " "
-        + spec.types() + " " + onlyZone;
+    return spec.cpus()
+        + " "
+        + spec.gpus()
+        + " "
+        + spec.memoryGb()
+        + " "
+        + spec.spot()
+        + " "
+        + spec.types()
+        + " "
+        + onlyZone;
   }
 
   private void finish(String id, View.Entry<Job> job) {
--- a/src/main/java/org/baygw/control/quota/UnmetDemand.java
+++ b/src/main/java/org/baygw/control/quota/UnmetDemand.java
@@ -11,13 +11,13 @@
  * @param waitedMs how long the job has had such tasks
  * @param standing what the job is entitled to
  */
-public record UnmetDemand(
-    JobSpec spec, String zone, int count, long waitedMs, Standing standing) {
+public record UnmetDemand(JobSpec spec, String zone, int count, long waitedMs, Standing standing) {
 
   /**
    * What a job is entitled to.
    *
-   * @param guaranteed whether it fits into its team's guarantee together with the team's earlier jobs
+   * @param guaranteed whether it fits into its team's guarantee together with the team's earlier
+   *     jobs
    * @param reclaims whether room that other teams borrow may be taken back for it
    * @param guest whether its team has no guarantee at all
    * @param begun whether a task of it runs or is done
@@ -34,7 +34,9 @@
    * rented for it, unless it has not begun for so long that it might not begin in time at all.
    */
   public boolean canWaitForSpot() {
-    return standing.guest() && spec.spot() && spec.priority() == JobSpec.Priority.LOW
+    return standing.guest()
+        && spec.spot()
+        && spec.priority() == JobSpec.Priority.LOW
         && (standing.begun() || waitedMs < Constants.STARVED_MS);
   }
 }
--- a/src/main/java/org/baygw/control/store/Store.java
+++ b/src/main/java/org/baygw/control/store/Store.java
@@ -147,7 +147,9 @@
       if (!watching && now >= nextWatch) {
         watch();
       }
-      if (!syncing && !syncWaiters.isEmpty() && now >= nextSync
+      if (!syncing
+          && !syncWaiters.isEmpty()
+          && now >= nextSync
           && now >= waitingSince + Constants.SYNC_WAIT_MS) {
         sync();
       }
@@ -156,8 +158,8 @@
   }
 
   /**
-   * What this controller takes of the state service's limits: as much as each of the others, and some
-   * more where it has the desk.
+   * What this controller takes of the state service's limits: as much as each of the others, and
+   * some more where it has the desk.
    */
   public void share(boolean desk) {
     double share =
@@ -236,8 +238,9 @@
   }
 
   /**
-   * Like the other, but the write is made up only when tokens for it are there, so that all that came
-   * up while it waited goes into the one write. Null means that there is nothing to write any more.
+   * Like the other, but the write is made up only when tokens for it are there, so that all that
+   * came up while it waited goes into the one write. Null means that there is nothing to write any
+   * more.
    */
   public void settle(Urgency u, Supplier<Txn> late, Consumer<Boolean> then) {
     queues
@@ -315,19 +318,13 @@
         .get(u.ordinal())
         .add(
             new Waiting(
-                method,
-                path,
-                body,
-                writeCount,
-                clock.now() + waitMs,
-                timeoutMs,
-                then,
-                null,
-                null));
+                method, path, body, writeCount, clock.now() + waitMs, timeoutMs, then, null, null));
     pump();
   }
 
-  /** Runs the action once the view holds all that was durable when this was called, or has failed. */
+  /**
+   * Runs the action once the view holds all that was durable when this was called, or has failed.
+   */
   public void current(Consumer<Boolean> then) {
     waitingSince = syncWaiters.isEmpty() ? clock.now() : waitingSince;
     syncWaiters.add(then);
--- a/src/main/java/org/baygw/control/store/View.java
+++ b/src/main/java/org/baygw/control/store/View.java
@@ -8,7 +8,6 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Objects;
 import java.util.Set;
 import java.util.SortedMap;
 import java.util.TreeMap;
@@ -97,6 +96,7 @@
 
   /** By job and page of a part's record. */
   private final Map<String, Map<String, Ended>> ended = new HashMap<>();
+
   private final Map<Part, Map<String, Drain>> drainsOf = new HashMap<>();
 
   /** Granted tasks of a part that are on no machine. */
@@ -110,7 +110,10 @@
   /** Jobs that this copy has as cancelled, by the revision at which they became so. */
   private final TreeMap<Long, Set<String>> cancelled = new TreeMap<>();
 
-  /** A cancellation as a sibling told of it: its revision and the time of day at which it was written. */
+  /**
+   * A cancellation as a sibling told of it: its revision and the time of day at which it was
+   * written.
+   */
   private record Told(long stamp, long cancelledMs) {}
 
   /** Cancellations that a sibling has made durable and this copy has not reached. */
@@ -154,8 +157,8 @@
   }
 
   /**
-   * Whether a job's tasks are to run: it is open, and no sibling told of its cancellation. That is final
-   * once durable, so it is acted on early; users are answered by the job's key alone.
+   * Whether a job's tasks are to run: it is open, and no sibling told of its cancellation. That is
+   * final once durable, so it is acted on early; users are answered by the job's key alone.
    */
   public boolean runs(String job) {
     Entry<Job> j = jobs.get(job);
@@ -164,8 +167,7 @@
 
   public boolean cancelled(String job) {
     Entry<Job> j = jobs.get(job);
-    return toldCancelled.containsKey(job)
-        || j != null && j.value().state() == Job.State.CANCELLED;
+    return toldCancelled.containsKey(job) || j != null && j.value().state() == Job.State.CANCELLED;
   }
 
   /** Time of day, in ms, at which the cancellation of a cancelled job was written. */
@@ -177,8 +179,7 @@
 
   /** A sibling told of a cancellation that became durable at this revision. */
   public void toldCancelled(String job, long stamp, long cancelledMs) {
-    if (stamp > revision
-        && toldCancelled.putIfAbsent(job, new Told(stamp, cancelledMs)) == null) {
+    if (stamp > revision && toldCancelled.putIfAbsent(job, new Told(stamp, cancelledMs)) == null) {
       changes++;
       lookAtMachinesOf(job);
     }
@@ -210,7 +211,9 @@
     return onPages(p, r -> r.conditions().get(machine));
   }
 
-  /** What any page has; a machine stands on one only, but for the middle of reading all keys anew. */
+  /**
+   * What any page has; a machine stands on one only, but for the middle of reading all keys anew.
+   */
   private String onPages(Part p, Function<Roster, String> what) {
     for (Roster r : rosters.getOrDefault(p, NO_PAGES).values()) {
       String found = what.apply(r);
@@ -302,7 +305,8 @@
     try {
       apply(key, value, stamp);
     } catch (RuntimeException e) {
-      // A value that someone else wrote must not end the controller; its stamp is kept all the same.
+      // A value that someone else wrote must not end the controller; its stamp is kept all the
+      // same.
       LOG.error("skipped the value of {}: {}", key, e.toString());
     }
   }
@@ -392,8 +396,8 @@
       case "drain" -> {
         Map<String, Drain> next = new HashMap<>();
         if (v != null) {
-          v.fields().forEachRemaining(
-              e -> next.put(e.getKey(), Drain.valueOf(e.getValue().asText())));
+          v.fields()
+              .forEachRemaining(e -> next.put(e.getKey(), Drain.valueOf(e.getValue().asText())));
         }
         for (String m : drainsOf.getOrDefault(Part.parse(id), Map.of()).keySet()) {
           if (!next.containsKey(m)) {
@@ -585,8 +589,7 @@
     }
     Entry<Machine> e = machines.get(machine);
     if (e != null) {
-      machines.put(
-          machine, new Entry<>(withImages(e.value().withTasks(next), fresh), e.stamp()));
+      machines.put(machine, new Entry<>(withImages(e.value().withTasks(next), fresh), e.stamp()));
     }
     changedMachines.add(machine);
   }
--- a/src/main/java/org/baygw/control/workers/Agent.java
+++ b/src/main/java/org/baygw/control/workers/Agent.java
@@ -88,10 +88,10 @@
   }
 
   /**
-   * Counts the signs that our answers do not reach a worker whose reports reach us: it does not show
-   * the token that they carried, it reports again after it did not answer when asked, or its sessions
-   * end though they were answered in time. Now and then one is lost, so they count together only
-   * within a few leases, and a higher token shown ends the count.
+   * Counts the signs that our answers do not reach a worker whose reports reach us: it does not
+   * show the token that they carried, it reports again after it did not answer when asked, or its
+   * sessions end though they were answered in time. Now and then one is lost, so they count
+   * together only within a few leases, and a higher token shown ends the count.
    */
   void heed(WorkerCodec.Report r, long now, long leaseMs) {
     boolean ended = session > 0 && r.session() > session && now - lastAnswered < leaseMs;
--- a/src/main/java/org/baygw/control/workers/CancellationDeadline.java
+++ b/src/main/java/org/baygw/control/workers/CancellationDeadline.java
@@ -23,12 +23,12 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * The last step of a cancellation. A machine that hangs keeps its tasks whatever its lease says, and
- * while the state service is out nobody can make it durable that the machine is given up. So the cloud
- * is asked to take a machine back on which a cancelled task is not proved gone in time: by the owner of
- * its partition first, by other controllers later, since a partition may have no owner that lives. The
- * time counts from the time of day that the cancellation's record holds, so that a controller that was
- * restarted, or has taken over, does not count from its own start.
+ * The last step of a cancellation. A machine that hangs keeps its tasks whatever its lease says,
+ * and while the state service is out nobody can make it durable that the machine is given up. So
+ * the cloud is asked to take a machine back on which a cancelled task is not proved gone in time:
+ * by the owner of its partition first, by other controllers later, since a partition may have no
+ * owner that lives. The time counts from the time of day that the cancellation's record holds, so
+ * that a controller that was restarted, or has taken over, does not count from its own start.
  */
 final class CancellationDeadline {
   private static final Logger LOG = LoggerFactory.getLogger(CancellationDeadline.class);
@@ -82,13 +82,16 @@
     }
     nextLook = clock.now() + Constants.LOOK_ALL_MS;
     List<String> due = look();
-    // Another owner may have proved the tasks gone and put others there: then it is not ours to end.
+    // Another owner may have proved the tasks gone and put others there: then it is not ours to
+    // end.
     if (!due.isEmpty() && !returning && !horizon.mayBeReplaced()) {
       giveBack(due.subList(0, Math.min(due.size(), Constants.MAX_RETURN)));
     }
   }
 
-  /** Finds the machines on which cancelled tasks are not proved gone; returns those that are due. */
+  /**
+   * Finds the machines on which cancelled tasks are not proved gone; returns those that are due.
+   */
   private List<String> look() {
     returned.retainAll(view.machines.keySet());
     boolean outage = horizon.outageForMost();
--- a/src/main/java/org/baygw/control/workers/Contact.java
+++ b/src/main/java/org/baygw/control/workers/Contact.java
@@ -15,7 +15,9 @@
 import org.baygw.control.model.TaskId;
 import org.baygw.control.store.View;
 
-/** What workers are told and asked: launches, kills, forgets, in answers to reports and directly. */
+/**
+ * What workers are told and asked: launches, kills, forgets, in answers to reports and directly.
+ */
 final class Contact {
   /** Takes in a report that came as the answer to a call of ours. */
   interface Heard {
@@ -72,16 +74,18 @@
   }
 
   /**
-   * Asks a worker that has gone quiet, and one that has not seen this claim's token: after a takeover
-   * it may wait seconds for its former owner, and until it has seen the token nothing here is proved.
+   * Asks a worker that has gone quiet, and one that has not seen this claim's token: after a
+   * takeover it may wait seconds for its former owner, and until it has seen the token nothing here
+   * is proved.
    */
   void ask(Agent a) {
     long now = clock.now();
-    boolean quiet =
-        now - heardAt(a) > Constants.ASK_REPORTS * settings.workers().reportS() * 1000;
-    if (a.asking || a.directBusy || a.addr.isEmpty() || now < a.nextAsk
-        || !quiet
-            && (a.trusted() || a.lastHeard > 0 || now - a.since < Constants.ASK_FIRST_MS)) {
+    boolean quiet = now - heardAt(a) > Constants.ASK_REPORTS * settings.workers().reportS() * 1000;
+    if (a.asking
+        || a.directBusy
+        || a.addr.isEmpty()
+        || now < a.nextAsk
+        || !quiet && (a.trusted() || a.lastHeard > 0 || now - a.since < Constants.ASK_FIRST_MS)) {
       return;
     }
     a.asking = true;
@@ -119,7 +123,10 @@
 
   /** Sends at once what should not wait for the next report. */
   void urgent(Agent a, Machine m, Ledger l) {
-    if (a.directBusy || a.addr.isEmpty() || !a.trusted() || a.leaseOver
+    if (a.directBusy
+        || a.addr.isEmpty()
+        || !a.trusted()
+        || a.leaseOver
         || !placing.heardLately(a)) {
       return;
     }
@@ -170,16 +177,14 @@
       boolean open = f == null || reply && f.replyTick == 0 && !a.directBusy;
       // What a write under way takes off the machine must not be started there again.
       if (open && !l.moving(t.getKey()) && proofs.wanted(t.getKey(), t.getValue(), m)) {
-        orders.add(
-            new WorkerCodec.Order(WorkerCodec.Verb.LAUNCH, t.getKey(), t.getValue(), 0));
+        orders.add(new WorkerCodec.Order(WorkerCodec.Verb.LAUNCH, t.getKey(), t.getValue(), 0));
       }
     }
     return orders;
   }
 
   /** Seconds a task gets to save when it is to stop; null if it is to run on. */
-  private Double grace(
-      Agent a, TaskId t, WorkerCodec.Seen s, Machine m, boolean ours, Ledger l) {
+  private Double grace(Agent a, TaskId t, WorkerCodec.Seen s, Machine m, boolean ours, Ledger l) {
     View.Entry<Job> j = view.jobs.get(t.job());
     boolean runs = view.runs(t.job());
     if (!ours || !runs) {
@@ -234,8 +239,7 @@
 
   private void answered(Agent a, List<TaskId> launches, int status, byte[] body) {
     a.directBusy = false;
-    boolean certain =
-        status == 200 || status == 409 || status == 400 || status == Outbox.NOT_SENT;
+    boolean certain = status == 200 || status == 409 || status == 400 || status == Outbox.NOT_SENT;
     if (certain) {
       for (TaskId t : launches) {
         Agent.Flight f = a.flights.get(t);
--- a/src/main/java/org/baygw/control/workers/Ledger.java
+++ b/src/main/java/org/baygw/control/workers/Ledger.java
@@ -29,9 +29,9 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * The only writer of a part's record, under one claim. All that has come up since the last write goes
- * into the next one: tasks proved gone, tasks placed, conditions of machines. A task stands in the
- * record before its launch is sent and until it is proved gone.
+ * The only writer of a part's record, under one claim. All that has come up since the last write
+ * goes into the next one: tasks proved gone, tasks placed, conditions of machines. A task stands in
+ * the record before its launch is sent and until it is proved gone.
  */
 final class Ledger {
   /** What the ledger asks of the rest. */
@@ -234,8 +234,7 @@
     if (dirty.isEmpty() && !place) {
       return;
     }
-    long pace =
-        Constants.ROSTER_PACE_MS + Constants.ROSTER_PACE_MS_A_PAGE * (view.pages(part) - 1);
+    long pace = Constants.ROSTER_PACE_MS + Constants.ROSTER_PACE_MS_A_PAGE * (view.pages(part) - 1);
     if (store.scarce() && now < lastWrite + pace) {
       return; // what ends meanwhile shares the write
     }
@@ -323,8 +322,8 @@
 
   /**
    * Doubles the record's pages, all of them in one write under the claim: whoever reads the record
-   * finds each machine where the number of pages that it reads says, before, after and whenever this
-   * controller ends. Nothing else goes with it.
+   * finds each machine where the number of pages that it reads says, before, after and whenever
+   * this controller ends. Nothing else goes with it.
    */
   private void divide(Draft d) {
     int pages = 2 * d.next.size();
@@ -345,8 +344,7 @@
     LOG.info("{} gets {} pages", part, pages);
   }
 
-  private static void merge(
-      Map<String, String> texts, String job, TreeMap<Integer, Integer> more) {
+  private static void merge(Map<String, String> texts, String job, TreeMap<Integer, Integer> more) {
     TreeMap<Integer, Integer> all = Roster.indexes(texts.get(job));
     all.putAll(more);
     texts.put(job, Roster.indexes(all));
@@ -417,7 +415,9 @@
       return false;
     }
     Room r = placing.room(a, to);
-    if (r == null || !r.fits(j.value().spec()) || d.lists.containsKey(name)
+    if (r == null
+        || !r.fits(j.value().spec())
+        || d.lists.containsKey(name)
         || there == this && !d.touchable(d.page(name))
         || d.writes() + MOVE_WRITES > settings.state().txnOps()) {
       return false;
@@ -461,7 +461,8 @@
     d.done.values().forEach(m -> m.forEach((job, l) -> ended.merge(job, l.size(), Integer::sum)));
     for (String job : ended.keySet()) {
       View.Entry<Job> j = view.jobs.get(job);
-      if (j == null || !j.value().open()
+      if (j == null
+          || !j.value().open()
           || view.done(job) + ended.get(job) < j.value().spec().tasks()) {
         continue;
       }
@@ -476,9 +477,7 @@
           clock.wall() - j.value().acceptedMs(),
           j.value().spec().tasks(),
           j.value().spec().estimateS());
-      d.txn
-          .when(Keys.job(job), j.stamp())
-          .put(Keys.job(job), Records.job(j.value().done()));
+      d.txn.when(Keys.job(job), j.stamp()).put(Keys.job(job), Records.job(j.value().done()));
       for (int c = 0; c < j.value().chunks(); c++) {
         d.txn.delete(Keys.progress(job, c));
       }
@@ -510,7 +509,8 @@
               moving.addAll(tasks.keySet());
               d.placedOn.add(name);
               for (TaskId t : tasks.keySet()) {
-                // The job must not have been cancelled. The grant needs no condition: while the job is
+                // The job must not have been cancelled. The grant needs no condition: while the job
+                // is
                 // open only this record takes one back.
                 d.txn.when(Keys.job(t.job()), view.stamp(Keys.job(t.job())));
                 Job j = view.jobs.get(t.job()).value();
--- a/src/main/java/org/baygw/control/workers/Placing.java
+++ b/src/main/java/org/baygw/control/workers/Placing.java
@@ -54,8 +54,7 @@
   /** Where a round wants pending tasks. */
   private final Map<TaskId, String> chosen = new HashMap<>();
 
-  Placing(
-      Clock clock, Settings settings, View view, Map<String, Agent> agents, Rounds rounds) {
+  Placing(Clock clock, Settings settings, View view, Map<String, Agent> agents, Rounds rounds) {
     this.clock = clock;
     this.settings = settings;
     this.view = view;
@@ -98,10 +97,11 @@
       JobSpec s = over ? null : j.value().spec();
       Room r = null;
       boolean again = false;
-      if (!over && (jobs.contains(t.job()) || jobs.size() < mostJobs)
-          && !t.job().equals(fullFor)) {
+      if (!over && (jobs.contains(t.job()) || jobs.size() < mostJobs) && !t.job().equals(fullFor)) {
         again =
-            t.job().equals(lastJob) && !s.service() && last.fits(s)
+            t.job().equals(lastJob)
+                && !s.service()
+                && last.fits(s)
                 && space.open(last.machine().name());
         r = again ? last : wanted(free, t, s);
         r = r == null ? firstFit(free, s) : r;
@@ -232,8 +232,7 @@
       backoffs.remove(t.job());
       return;
     }
-    if (s == null || s.state() != WorkerCodec.State.ENDED
-        || s.cause() != WorkerCodec.Cause.ERROR) {
+    if (s == null || s.state() != WorkerCodec.State.ENDED || s.cause() != WorkerCodec.Cause.ERROR) {
       return;
     }
     a.errors++;
--- a/src/main/java/org/baygw/control/workers/Proofs.java
+++ b/src/main/java/org/baygw/control/workers/Proofs.java
@@ -2,13 +2,13 @@
 
 import java.util.LinkedHashMap;
 import java.util.Map;
+import org.baygw.control.Constants;
 import org.baygw.control.config.Settings;
 import org.baygw.control.core.Clock;
 import org.baygw.control.model.Machine;
 import org.baygw.control.model.Progress;
 import org.baygw.control.model.TaskId;
 import org.baygw.control.store.View;
-import org.baygw.control.Constants;
 
 /** What proves that a task is no longer on its machine. */
 final class Proofs {
@@ -75,10 +75,13 @@
       return s.cause() == WorkerCodec.Cause.DONE ? End.DONE : End.BACK;
     }
     boolean absent =
-        a.trusted() && (s == null || s.state() == WorkerCodec.State.ENDED)
+        a.trusted()
+            && (s == null || s.state() == WorkerCodec.State.ENDED)
             && !a.flights.containsKey(t);
-    // A machine that hangs keeps its tasks whatever its lease says: where the job was cancelled the task
-    // stays on record until the machine is heard of or returned, or the next owner would not know of it.
+    // A machine that hangs keeps its tasks whatever its lease says: where the job was cancelled the
+    // task
+    // stays on record until the machine is heard of or returned, or the next owner would not know
+    // of it.
     return absent && (a.leaseOver ? !view.cancelled(t.job()) : !wanted(t, attempt, m))
         ? End.BACK
         : null;
--- a/src/main/java/org/baygw/control/workers/Reach.java
+++ b/src/main/java/org/baygw/control/workers/Reach.java
@@ -11,8 +11,8 @@
 import org.baygw.control.store.View;
 
 /**
- * Whether this controller itself reaches the workers of its zone. When all of its own fall silent at
- * once it is likelier cut off from them than they are dead: then others take its parts, and its
+ * Whether this controller itself reaches the workers of its zone. When all of its own fall silent
+ * at once it is likelier cut off from them than they are dead: then others take its parts, and its
  * workers are not held to be lost. It asks one worker after the other until one answers.
  */
 final class Reach {
@@ -45,7 +45,10 @@
     lastHeard = clock.now();
   }
 
-  /** Whether the silence of one worker says something of it: others were heard lately, or there are few. */
+  /**
+   * Whether the silence of one worker says something of it: others were heard lately, or there are
+   * few.
+   */
   boolean sure() {
     return clock.now() - lastHeard <= Constants.SURE_REPORTS * periodMs();
   }
--- a/src/main/java/org/baygw/control/workers/Rounds.java
+++ b/src/main/java/org/baygw/control/workers/Rounds.java
@@ -20,8 +20,8 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * The design's rounds over the machines of this controller: sets a search up, lets it run a few nodes
- * at a time, and keeps the moves it asked for until they are made or out of date.
+ * The design's rounds over the machines of this controller: sets a search up, lets it run a few
+ * nodes at a time, and keeps the moves it asked for until they are made or out of date.
  */
 public final class Rounds {
   /** Age of a task that this owner launched. */
@@ -97,8 +97,7 @@
       Cached cached) {
     moves
         .entrySet()
-        .removeIf(
-            e -> now > e.getValue().until() || !view.jobs.containsKey(e.getKey().job()));
+        .removeIf(e -> now > e.getValue().until() || !view.jobs.containsKey(e.getKey().job()));
     if (search == null) {
       if (now < nextRound) {
         return Map.of();
@@ -188,10 +187,10 @@
   }
 
   /**
-   * The machines that a round could empty, by index, with their tasks: nothing on them stays, and they
-   * hold fewer than alpha/mu tasks, or emptying them would not pay. The tasks of all others stay where
-   * they are. Those with the most tasks come first: the search changes last what it placed first, so
-   * the machines that are emptied most cheaply are tried before the others.
+   * The machines that a round could empty, by index, with their tasks: nothing on them stays, and
+   * they hold fewer than alpha/mu tasks, or emptying them would not pay. The tasks of all others
+   * stay where they are. Those with the most tasks come first: the search changes last what it
+   * placed first, so the machines that are emptied most cheaply are tried before the others.
    */
   private static Map<Integer, List<TaskId>> emptiable(
       View view, Params params, List<Room> rooms, Age age, Pinned pinned, int mostTasks) {
@@ -206,7 +205,9 @@
       for (TaskId t : list) {
         View.Entry<Job> j = view.jobs.get(t.job());
         all &=
-            j != null && !j.value().spec().oneZone() && !pinned.pinned(name, t)
+            j != null
+                && !j.value().spec().oneZone()
+                && !pinned.pinned(name, t)
                 && age.ageS(name, t) <= params.ageLimitS();
       }
       if (all) {
--- a/src/main/java/org/baygw/control/workers/WorkerCodec.java
+++ b/src/main/java/org/baygw/control/workers/WorkerCodec.java
@@ -57,7 +57,10 @@
   static Report decode(JsonNode n) {
     String host = n.path("host").asText("");
     String zone = n.path("yard").asText("");
-    if (host.isEmpty() || host.contains("/") || zone.isEmpty() || !n.path("stint").isNumber()
+    if (host.isEmpty()
+        || host.contains("/")
+        || zone.isEmpty()
+        || !n.path("stint").isNumber()
         || !n.path("tick").isNumber()) {
       return null;
     }
--- a/src/main/java/org/baygw/control/workers/Workers.java
+++ b/src/main/java/org/baygw/control/workers/Workers.java
@@ -82,8 +82,7 @@
         new CancellationDeadline(
             clock, settings, view, membership, proofs, cloud, horizon, this::owned);
     this.placing = new Placing(clock, settings, view, agents, rounds);
-    this.contact =
-        new Contact(clock, out, settings, view, proofs, placing, rounds, this::heard);
+    this.contact = new Contact(clock, out, settings, view, proofs, placing, rounds, this::heard);
   }
 
   /** A worker's report. */
@@ -119,7 +118,8 @@
       out.answer(request, 421, Json.bytes(WorkerCodec.home(null)));
       return;
     }
-    if (!a.newer(r.session(), r.tick()) || view.drains.get(r.machine()) == View.Drain.GONE
+    if (!a.newer(r.session(), r.tick())
+        || view.drains.get(r.machine()) == View.Drain.GONE
         || buried.contains(r.machine())) {
       out.answer(request, 503, Json.bytes(Json.object().put("error", "an old report")));
       return;
@@ -223,7 +223,8 @@
     } else if (a.sick) {
       return Machine.Condition.SICK;
     } else if (contact.silent(a)) {
-      // Where nobody else was heard lately that says nothing new; but what is silent stays so until it is
+      // Where nobody else was heard lately that says nothing new; but what is silent stays so until
+      // it is
       // heard, or the desk would count its silence from the start again and again.
       return a.deaf() || reach.sure() ? Machine.Condition.SILENT : m.condition();
     } else if (a.noticeUntil > 0 || view.cordons.contains(m.name())) {
@@ -380,7 +381,8 @@
     if (r.session() > a.session) {
       a.flights.clear(); // commands of an earlier session are refused
       a.killed.clear();
-      // A new session has its full lease from its own start, even if none of its reports is answered:
+      // A new session has its full lease from its own start, even if none of its reports is
+      // answered:
       // tasks launched in it directly live that long.
       a.lastAnswered = clock.now();
     }
@@ -403,8 +405,8 @@
   }
 
   /**
-   * Puts a machine on record once its worker has shown this claim's token: a copy of an old report of
-   * a machine that was returned, even by a controller that has since crashed, cannot show it.
+   * Puts a machine on record once its worker has shown this claim's token: a copy of an old report
+   * of a machine that was returned, even by a controller that has since crashed, cannot show it.
    */
   private void register(Agent a, WorkerCodec.Report r) {
     if (a.busy || !a.trusted()) {
--- a/src/test/java/org/baygw/control/model/RosterTest.java
+++ b/src/test/java/org/baygw/control/model/RosterTest.java
@@ -7,7 +7,9 @@
 import org.baygw.control.core.Json;
 import org.junit.jupiter.api.Test;
 
-/** Pages of a part's record: the same place for a machine whoever works it out, and evenly filled. */
+/**
+ * Pages of a part's record: the same place for a machine whoever works it out, and evenly filled.
+ */
 final class RosterTest {
   private static String machine(int i) {
     return String.format("n-%06d", i);
--- a/src/test/java/org/baygw/control/placement/BranchAndBoundTest.java
+++ b/src/test/java/org/baygw/control/placement/BranchAndBoundTest.java
@@ -37,8 +37,7 @@
     return best;
   }
 
-  private static double cost(
-      List<Host> hosts, List<Item> items, int k, boolean relaxed, int[] at) {
+  private static double cost(List<Host> hosts, List<Item> items, int k, boolean relaxed, int[] at) {
     double[][] free = new double[hosts.size()][];
     boolean[] on = new boolean[hosts.size()];
     for (int p = 0; p < free.length; p++) {
@@ -62,7 +61,9 @@
         }
       }
       for (int w = 0; w < v; w++) {
-        if (!relaxed && at[w] == at[v] && i.group() != null
+        if (!relaxed
+            && at[w] == at[v]
+            && i.group() != null
             && i.group().equals(items.get(w).group())) {
           return Double.POSITIVE_INFINITY;
         }
@@ -152,7 +153,8 @@
 
   @Test
   void machinesWithAlphaOverMuTasksAreNotEmptied() {
-    List<Host> hosts = List.of(new Host(new double[] {100}, false), new Host(new double[] {100}, true));
+    List<Host> hosts =
+        List.of(new Host(new double[] {100}, false), new Host(new double[] {100}, true));
     List<Item> items = new ArrayList<>();
     for (int i = 0; i < 10; i++) {
       items.add(new Item(new double[] {1}, 0, null, new boolean[] {true, true}));
@@ -192,8 +194,7 @@
   @Test
   void weightsMustBeAboveZero() {
     assertThrows(
-        IllegalArgumentException.class,
-        () -> new BranchAndBound(List.of(), List.of(), 0, MU, 1));
+        IllegalArgumentException.class, () -> new BranchAndBound(List.of(), List.of(), 0, MU, 1));
     assertThrows(
         IllegalArgumentException.class,
         () -> new BranchAndBound(List.of(), List.of(), ALPHA, 0, 1));
--- a/src/test/java/org/baygw/control/sim/Checker.java
+++ b/src/test/java/org/baygw/control/sim/Checker.java
@@ -130,8 +130,8 @@
   static final long FORGOTTEN_MS = 75_000;
 
   /**
-   * Once all troubles are over, a job that has waited so long must not go on waiting while a machine that
-   * fits has room and its team is under its limit.
+   * Once all troubles are over, a job that has waited so long must not go on waiting while a
+   * machine that fits has room and its team is under its limit.
    */
   static final long WAIT_MS = 90_000;
 
@@ -155,7 +155,8 @@
     return world.workers.values().stream()
         .anyMatch(
             w ->
-                w.freeCpus() >= s.cpus() && (!w.spot || s.spot())
+                w.freeCpus() >= s.cpus()
+                    && (!w.spot || s.spot())
                     && (s.zone() == null || s.zone().equals(w.zone)));
   }
 
@@ -168,7 +169,10 @@
         });
   }
 
-  /** Looks from now on whether jobs wait though they could run; to be called when the troubles are over. */
+  /**
+   * Looks from now on whether jobs wait though they could run; to be called when the troubles are
+   * over.
+   */
   void watchWaiting() {
     sampleWaiting(world.now());
   }
@@ -221,8 +225,10 @@
         }
       }
     }
-    if (w.spot && !s.spot() || s.zone() != null && !s.zone().equals(w.zone)
-        || s.spread() && here > (s.tasks() + 1) / 2 || s.together() && elsewhere > 0) {
+    if (w.spot && !s.spot()
+        || s.zone() != null && !s.zone().equals(w.zone)
+        || s.spread() && here > (s.tasks() + 1) / 2
+        || s.together() && elsewhere > 0) {
       breaks("wrong_place", task);
     }
     double used = milliCpus.get(s.team()) / 1000.0;
@@ -261,8 +267,8 @@
   }
 
   /**
-   * What a user was told, and what had been told when the request was sent: an answer that was under
-   * way at the same time as another may come after it.
+   * What a user was told, and what had been told when the request was sent: an answer that was
+   * under way at the same time as another may come after it.
    */
   void answered(String id, int status, JsonNode body, String before) {
     if (status == 404 && before != null) {
@@ -282,8 +288,7 @@
     answeredAt.put(id, world.now());
     String now = body.path("status").asText();
     boolean wasFinal = "done".equals(before) || "cancelled".equals(before);
-    if (wasFinal && !now.equals(before)
-        || now.equals("cancelled") && !cancelAsked.contains(id)) {
+    if (wasFinal && !now.equals(before) || now.equals("cancelled") && !cancelAsked.contains(id)) {
       breaks("went_back", id);
     }
     if (now.equals("done")) {
--- a/src/test/java/org/baygw/control/sim/FakeState.java
+++ b/src/test/java/org/baygw/control/sim/FakeState.java
@@ -237,8 +237,13 @@
     int ops = world.stateTxnOps;
     String what = null;
     if (n.path("then").size() > ops || n.path("when").size() > 4 * ops) {
-      what = n.path("then").size() + " changes and " + n.path("when").size() + " conditions: "
-          + n.path("then").findValuesAsText("write") + n.path("then").findValuesAsText("delete");
+      what =
+          n.path("then").size()
+              + " changes and "
+              + n.path("when").size()
+              + " conditions: "
+              + n.path("then").findValuesAsText("write")
+              + n.path("then").findValuesAsText("delete");
     }
     int all = Json.bytes(n).length;
     if (all > 64 * 1024) {
--- a/src/test/java/org/baygw/control/sim/FakeWorker.java
+++ b/src/test/java/org/baygw/control/sim/FakeWorker.java
@@ -115,8 +115,7 @@
       changed = true;
     }
     long period = World.REPORT_MS * 3 / 4 + world.random.nextInt(World.REPORT_MS / 2);
-    if (!hung && !reporting
-        && (now - lastReport >= period || changed && now - lastReport >= 500)) {
+    if (!hung && !reporting && (now - lastReport >= period || changed && now - lastReport >= 500)) {
       report();
     }
     world.after(100, this::pulse);
@@ -153,7 +152,9 @@
     JsonNode a = Json.parse(body);
     if (status == 200) {
       reporting = false;
-      if (mine != session || world.now() - sent > 4_000 || a.path("baton").asLong() < token
+      if (mine != session
+          || world.now() - sent > 4_000
+          || a.path("baton").asLong() < token
           || !a.has("baton")) {
         return;
       }
--- a/src/test/java/org/baygw/control/sim/Scenario.java
+++ b/src/test/java/org/baygw/control/sim/Scenario.java
@@ -27,6 +27,7 @@
 
   /** Submissions, as they were sent. */
   private final Map<String, byte[]> sent = new TreeMap<>();
+
   private boolean expectsBroken;
   private long troublesEnd;
 
@@ -212,7 +213,8 @@
         world.cut("state", w[3], World.Cut.DROP, forMs);
       }
       case "mute" -> names(w[3]).forEach(m -> world.mute(m, forMs));
-      case "late-writes" -> world.state.lateWrites(Double.parseDouble(word(w, "share", "1")), forMs);
+      case "late-writes" ->
+          world.state.lateWrites(Double.parseDouble(word(w, "share", "1")), forMs);
       case "cancel-now" -> cancelNow(w, seconds(word(w, "hang", "0")));
       case "cancel-at-end" -> {
         double share = Double.parseDouble(word(w, "share", "1"));
@@ -395,8 +397,7 @@
 
   private void askOf(
       String label, String method, String path, byte[] body, String id, int tries, Then then) {
-    Runnable again =
-        () -> world.after(1_000, () -> ask(method, path, body, id, tries + 1, then));
+    Runnable again = () -> world.after(1_000, () -> ask(method, path, body, id, tries + 1, then));
     String before = world.checker.toldOf(id);
     world.call(
         "user",
@@ -410,7 +411,9 @@
             world.checker.answered(id, status, Json.parse(answer), before);
             then.then(id);
           } else {
-            if (status != Outbox.NO_ANSWER && status != Outbox.NOT_SENT && status != 503
+            if (status != Outbox.NO_ANSWER
+                && status != Outbox.NOT_SENT
+                && status != 503
                 && status != 429) {
               failures.add(method + " " + path + " was answered " + status);
             }
@@ -475,8 +478,14 @@
         int changes = world.state.writes.values().stream().mapToInt(i -> i).sum();
         if (changes > Double.parseDouble(w[2]) * world.checker.starts) {
           failures.add(
-              changes + " changes for " + world.checker.starts + " starts: " + world.state.writes
-                  + ", " + world.state.refusals + " requests refused");
+              changes
+                  + " changes for "
+                  + world.checker.starts
+                  + " starts: "
+                  + world.state.writes
+                  + ", "
+                  + world.state.refusals
+                  + " requests refused");
         }
       }
       case "pages-at-least" -> {
--- a/src/test/java/org/baygw/control/sim/StormTest.java
+++ b/src/test/java/org/baygw/control/sim/StormTest.java
@@ -33,7 +33,8 @@
             r.nextInt(3),
             r.nextBoolean() ? "red" : "blue");
     return r.nextInt(oneIn) == 0
-        ? line + String.format(Locale.ROOT, "at %.2f abort run-%d%n", at + r.nextDouble() * within, i)
+        ? line
+            + String.format(Locale.ROOT, "at %.2f abort run-%d%n", at + r.nextDouble() * within, i)
         : line;
   }
 
@@ -82,7 +83,9 @@
     return b.append("run 170\n").toString();
   }
 
-  /** Days on which the operators' troubles meet: two or three at about the same moment, six times. */
+  /**
+   * Days on which the operators' troubles meet: two or three at about the same moment, six times.
+   */
   static String meetings(long seed) {
     Random r = new Random(seed);
     StringBuilder b = setUp(seed, 10);
@@ -93,7 +96,12 @@
             case 0 -> "service tasks=" + (1 + r.nextInt(4)) + (r.nextBoolean() ? " spread" : "");
             case 1 -> "tasks=" + (1 + r.nextInt(6)) + " saves spot rank=best_effort run=25";
             case 2 -> "tasks=" + (1 + r.nextInt(6)) + " together run=14";
-            case 3 -> "tasks=" + (1 + r.nextInt(3)) + " zone=" + (r.nextBoolean() ? "a" : "b") + " run=30";
+            case 3 ->
+                "tasks="
+                    + (1 + r.nextInt(3))
+                    + " zone="
+                    + (r.nextBoolean() ? "a" : "b")
+                    + " run=30";
             case 4 -> "tasks=2 run=" + (1 + r.nextInt(60));
             default -> "tasks=" + (1 + r.nextInt(10)) + " spot cpus=2 run=" + (1 + r.nextInt(20));
           };
--- a/src/test/java/org/baygw/control/sim/World.java
+++ b/src/test/java/org/baygw/control/sim/World.java
@@ -16,8 +16,8 @@
 import org.baygw.control.core.Outbox;
 
 /**
- * A simulated deployment: clock, network, state service, cloud, workers and users around real cores.
- * Everything random comes from one seed, so a scenario always plays the same.
+ * A simulated deployment: clock, network, state service, cloud, workers and users around real
+ * cores. Everything random comes from one seed, so a scenario always plays the same.
  */
 final class World {
   static final String STATE = "10.9.0.1:2379";
@@ -64,7 +64,8 @@
   int stateTxnOps = 16;
   private final PriorityQueue<Event> events =
       new PriorityQueue<>(
-          (a, b) -> a.at() != b.at() ? Long.compare(a.at(), b.at()) : Long.compare(a.order(), b.order()));
+          (a, b) ->
+              a.at() != b.at() ? Long.compare(a.at(), b.at()) : Long.compare(a.order(), b.order()));
   private long order;
   private long now;
 
@@ -115,8 +116,7 @@
       life++;
     }
 
-    void receive(
-        boolean peer, String method, String path, byte[] body, FakeState.Respond respond) {
+    void receive(boolean peer, String method, String path, byte[] body, FakeState.Respond respond) {
       long id = ++requests;
       pending.put(id, respond);
       carryOut(
@@ -282,8 +282,7 @@
                 body,
                 (status, answer) -> {
                   CutState back = cutOf(to, from);
-                  boolean lost =
-                      back != null || there != null && there.kind() == Cut.LOSE_ANSWERS;
+                  boolean lost = back != null || there != null && there.kind() == Cut.LOSE_ANSWERS;
                   if (!lost) {
                     after(latency(), () -> once.done(status, answer));
                   }
@@ -298,8 +297,7 @@
       String path,
       byte[] body,
       FakeState.Respond respond) {
-    JsonNode n =
-        peer || body == null || body.length == 0 ? Json.object() : Json.parse(body);
+    JsonNode n = peer || body == null || body.length == 0 ? Json.object() : Json.parse(body);
     if (to.equals("state")) {
       state.handle(from, method, path, n, respond);
     } else if (to.equals("cloud")) {
@@ -318,11 +316,14 @@
 
   Set<String> liveLabels() {
     Set<String> out = new HashSet<>();
-    nodes.values().forEach(n -> {
-      if (n.core != null) {
-        out.add(n.label);
-      }
-    });
+    nodes
+        .values()
+        .forEach(
+            n -> {
+              if (n.core != null) {
+                out.add(n.label);
+              }
+            });
     return out;
   }
 }
