--- a/src/main/java/org/baygw/control/Constants.java
+++ b/src/main/java/org/baygw/control/Constants.java
@@ -395,6 +395,9 @@
   /** ms. Longest wait of a job that keeps failing. */
   public static final long ERROR_BACKOFF_MAX_MS = 60_000;
 
+  /** Times the list's lag for which a machine that was rented may be missing from it. */
+  public static final double LIST_LAGS = 4;
+
   /** ms between two looks at what is to be rented or returned: a boot takes seconds. */
   public static final long FLEET_PLAN_MS = 250;
 
--- /dev/null
+++ b/src/main/java/org/baygw/control/fleet/CloudInventory.java
@@ -0,0 +1,105 @@
+package org.baygw.control.fleet;
+
+import java.util.Collection;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.baygw.control.Constants;
+import org.baygw.control.cloud.Cloud;
+import org.baygw.control.core.Clock;
+import org.baygw.control.membership.Membership;
+import org.baygw.control.model.MachineType;
+import org.baygw.control.model.Records;
+import org.baygw.control.store.Keys;
+import org.baygw.control.store.Store;
+import org.baygw.control.store.Txn;
+import org.baygw.control.store.View;
+
+/** What the cloud says there is: its machine types, and its list of machines, which lags. */
+final class CloudInventory {
+  private final Clock clock;
+  private final Store store;
+  private final View view;
+  private final Membership membership;
+  private final Cloud cloud;
+  private Map<String, Cloud.Listed> listed = new LinkedHashMap<>();
+  private long listedAt;
+  private boolean listing;
+  private long nextList;
+  private boolean typing;
+  private long nextTypes;
+
+  CloudInventory(Clock clock, Store store, View view, Membership membership, Cloud cloud) {
+    this.clock = clock;
+    this.store = store;
+    this.view = view;
+    this.membership = membership;
+    this.cloud = cloud;
+  }
+
+  /** Begins anew: this controller has become the leader. */
+  void reset() {
+    listed = new LinkedHashMap<>();
+    listedAt = 0;
+    nextList = clock.now();
+    nextTypes = clock.now();
+  }
+
+  void tick() {
+    if (!typing && clock.now() >= nextTypes) {
+      typing = true;
+      cloud.types(this::typesRead);
+    }
+    if (!listing && clock.now() >= nextList) {
+      listing = true;
+      cloud.list(this::listRead);
+    }
+  }
+
+  /** When the list was last read; 0 if it was not. */
+  long listedAt() {
+    return listedAt;
+  }
+
+  boolean lists(String machine) {
+    return listed.containsKey(machine);
+  }
+
+  Collection<Cloud.Listed> machines() {
+    return listed.values();
+  }
+
+  /** Seconds since a listed machine was asked for. */
+  double ageS(Cloud.Listed machine) {
+    return machine.ageS() + (clock.now() - listedAt) / 1000.0;
+  }
+
+  private void listRead(List<Cloud.Listed> list) {
+    listing = false;
+    nextList = clock.now() + Constants.LIST_MS;
+    if (list != null) {
+      listedAt = clock.now();
+      listed = new LinkedHashMap<>();
+      list.forEach(machine -> listed.put(machine.name(), machine));
+    }
+  }
+
+  private void typesRead(List<MachineType> types) {
+    typing = false;
+    boolean read = types != null && !types.isEmpty();
+    nextTypes = clock.now() + (read ? Constants.TYPES_MS : Constants.CLOUD_RETRY_MS);
+    if (read && !types.equals(view.types) && membership.desk() != 0) {
+      store.txn(
+          Store.Urgency.SUBMIT,
+          new Txn()
+              .when(Keys.claim(Keys.DESK), membership.desk())
+              .put(Keys.TYPES, Records.types(types)),
+          Constants.STATE_TIMEOUT_MS,
+          outcome -> {
+            if (outcome != Store.Outcome.OK) {
+              nextTypes = clock.now() + Constants.CLOUD_RETRY_MS;
+            }
+          });
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/org/baygw/control/fleet/MachineKind.java
@@ -0,0 +1,41 @@
+package org.baygw.control.fleet;
+
+import org.baygw.control.model.MachineType;
+import org.baygw.control.model.Rental;
+import org.baygw.control.placement.Room;
+import org.baygw.control.store.View;
+
+/**
+ * A kind of machine at one place, as it is rented.
+ *
+ * @param type the machine type's name
+ */
+record MachineKind(String type, String zone, boolean spot) {
+  static MachineKind of(Rental rental) {
+    return new MachineKind(rental.type(), rental.zone(), rental.spot());
+  }
+
+  /** An empty machine of the kind, or null where its type is unknown. */
+  Room room(View view, String machine) {
+    MachineType known = view.type(type);
+    return known == null ? null : Room.empty(machine, known, zone, spot);
+  }
+
+  @Override
+  public boolean equals(Object other) {
+    return other instanceof MachineKind kind
+        && spot == kind.spot
+        && type.equals(kind.type)
+        && zone.equals(kind.zone);
+  }
+
+  @Override
+  public int hashCode() {
+    return (type.hashCode() * 31 + zone.hashCode()) * 31 + (spot ? 1 : 0);
+  }
+
+  @Override
+  public String toString() {
+    return type + " in " + zone + (spot ? ", spot" : "");
+  }
+}
--- /dev/null
+++ b/src/main/java/org/baygw/control/fleet/RentalPlanner.java
@@ -0,0 +1,132 @@
+package org.baygw.control.fleet;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.baygw.control.Constants;
+import org.baygw.control.cloud.Cloud;
+import org.baygw.control.model.JobSpec;
+import org.baygw.control.model.MachineType;
+import org.baygw.control.placement.Room;
+import org.baygw.control.quota.UnmetDemand;
+import org.baygw.control.store.View;
+
+/** Works out what to rent for the tasks that found no room, counting what is on its way. */
+final class RentalPlanner {
+  private final View view;
+  private final CloudInventory inventory;
+  private final Rentals rentals;
+  private final Returns returns;
+
+  RentalPlanner(View view, CloudInventory inventory, Rentals rentals, Returns returns) {
+    this.view = view;
+    this.inventory = inventory;
+    this.rentals = rentals;
+    this.returns = returns;
+  }
+
+  /** Books what is missing, and gives up machines that failed or do not come up. */
+  void plan(List<UnmetDemand> unmet) {
+    rentals.expire();
+    List<Room> rooms = booting();
+    rooms.addAll(rentals.coming());
+    Map<MachineKind, Integer> wanted = new LinkedHashMap<>();
+    for (UnmetDemand demand : unmet) {
+      int left = demand.count();
+      for (Room room : rooms) {
+        if (left > 0 && (demand.zone() == null || demand.zone().equals(room.machine().zone()))) {
+          left = room.fill(demand.spec(), left);
+        }
+      }
+      want(demand, left, rooms, wanted);
+    }
+    wanted.forEach(rentals::book);
+  }
+
+  /** Adds machines for so many tasks to what is wanted, as far as there is a kind for them. */
+  private void want(
+      UnmetDemand demand, int tasks, List<Room> rooms, Map<MachineKind, Integer> wanted) {
+    int left = tasks;
+    while (left > 0) {
+      MachineKind kind = choose(demand, wanted);
+      if (kind == null || wanted.getOrDefault(kind, 0) >= Constants.MAX_RENT) {
+        return;
+      }
+      wanted.merge(kind, 1, Integer::sum);
+      Room room = kind.room(view, "");
+      int before = left;
+      left = room.fill(demand.spec(), left);
+      rooms.add(room);
+      if (left == before) {
+        return;
+      }
+    }
+  }
+
+  /** Empty machines that the cloud lists and that have not reported yet. */
+  private List<Room> booting() {
+    List<Room> rooms = new ArrayList<>();
+    for (Cloud.Listed machine : inventory.machines()) {
+      if (returns.returned(machine.name()) || returns.leaving(machine.name())) {
+        continue; // the list lags: the cloud may have taken it back
+      }
+      MachineType type = view.type(machine.type());
+      boolean up = view.machines.containsKey(machine.name());
+      if (machine.status().equals("failed")) {
+        returns.drain(machine.name(), machine.zone(), View.Drain.GIVEN_UP);
+      } else if (type != null && !up) {
+        if (inventory.ageS(machine) > type.bootS() * Constants.BOOT_GIVE_UP) {
+          returns.drain(machine.name(), machine.zone(), View.Drain.GIVEN_UP);
+        } else {
+          rooms.add(Room.empty(machine.name(), type, machine.zone(), machine.spot()));
+        }
+      }
+    }
+    return rooms;
+  }
+
+  /** The cheapest kind that is allowed and not refused just now, spread over the zones. */
+  private MachineKind choose(UnmetDemand demand, Map<MachineKind, Integer> wanted) {
+    JobSpec spec = demand.spec();
+    MachineKind best = null;
+    double bestPrice = 0;
+    int bestCount = 0;
+    for (MachineType type : view.types) {
+      if (!type.holds(spec) || !spec.typeAllowed(type.name())) {
+        continue;
+      }
+      for (String zone : type.zones()) {
+        if (demand.zone() != null && !demand.zone().equals(zone)
+            || spec.zone() != null && !spec.zone().equals(zone)) {
+          continue;
+        }
+        for (boolean spot : new boolean[] {true, false}) {
+          MachineKind kind = new MachineKind(type.name(), zone, spot);
+          if (spot && !spec.spot() || rentals.refused(kind) || !spot && demand.canWaitForSpot()) {
+            continue;
+          }
+          // Spot machines that all are taken come free sooner than a dearer one boots, in a short
+          // burst; one that lasts is worth it.
+          if (!spot
+              && spec.spot()
+              && !spec.service()
+              && type.spotPrice() < type.price()
+              && demand.waitedMs() < type.bootS() * 1000 * Constants.DEARER_BOOTS) {
+            continue;
+          }
+          double price = (spot ? type.spotPrice() : type.price()) / type.cpus();
+          int count = wanted.getOrDefault(kind, 0);
+          if (best == null
+              || price < bestPrice - Constants.EPS
+              || price < bestPrice + Constants.EPS && count < bestCount) {
+            best = kind;
+            bestPrice = price;
+            bestCount = count;
+          }
+        }
+      }
+    }
+    return best;
+  }
+}
--- /dev/null
+++ b/src/main/java/org/baygw/control/fleet/Returns.java
@@ -0,0 +1,207 @@
+package org.baygw.control.fleet;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.baygw.control.Constants;
+import org.baygw.control.cloud.Cloud;
+import org.baygw.control.core.Clock;
+import org.baygw.control.core.Json;
+import org.baygw.control.membership.Membership;
+import org.baygw.control.model.Part;
+import org.baygw.control.store.Keys;
+import org.baygw.control.store.Store;
+import org.baygw.control.store.Txn;
+import org.baygw.control.store.View;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Returns machines. A machine is marked as leaving before it is returned, so that nothing is placed
+ * on it any more, and that the cloud has taken it back is durable before anyone acts on it.
+ */
+final class Returns {
+  private static final Logger LOG = LoggerFactory.getLogger(Returns.class);
+
+  private final Clock clock;
+  private final Store store;
+  private final View view;
+  private final Membership membership;
+  private final Cloud cloud;
+  private final CloudInventory inventory;
+  private long claim;
+  private long prunedAt;
+
+  /** Marks that are to be written or are being written. */
+  private final Set<String> draining = new HashSet<>();
+
+  private final Map<Part, Map<String, View.Drain>> asked = new HashMap<>();
+
+  /** Partitions whose list of leaving machines is being written. */
+  private final Set<Part> busyLists = new HashSet<>();
+
+  /** Machines the cloud has taken back, until that is durable and they are off the list. */
+  private final Set<String> gone = new HashSet<>();
+
+  /** Machines given back that the cloud may still list. */
+  private final Set<String> returned = new HashSet<>();
+
+  private boolean returning;
+  private long nextReturn;
+
+  Returns(
+      Clock clock,
+      Store store,
+      View view,
+      Membership membership,
+      Cloud cloud,
+      CloudInventory inventory) {
+    this.clock = clock;
+    this.store = store;
+    this.view = view;
+    this.membership = membership;
+    this.cloud = cloud;
+    this.inventory = inventory;
+  }
+
+  /** Begins anew: this controller has become the leader under this claim. */
+  void reset(long newClaim) {
+    claim = newClaim;
+    draining.clear();
+    asked.clear();
+    busyLists.clear();
+    gone.clear();
+    returning = false;
+  }
+
+  /** Whether the cloud has taken the machine back, though it may still list it. */
+  boolean returned(String machine) {
+    return returned.contains(machine);
+  }
+
+  /** Whether the machine is marked for return, or is being marked. */
+  boolean leaving(String machine) {
+    return view.drains.containsKey(machine) || draining.contains(machine);
+  }
+
+  private void pruneReturned() {
+    if (prunedAt != inventory.listedAt()) {
+      prunedAt = inventory.listedAt();
+      returned.removeIf(m -> !inventory.lists(m) && !view.drains.containsKey(m));
+    }
+  }
+
+  /** Marks a machine for return. */
+  void drain(String name, String zone, View.Drain why) {
+    Part part = Part.of(name, zone, view.partsPerZone());
+    asked.computeIfAbsent(part, k -> new LinkedHashMap<>()).put(name, why);
+    draining.add(name);
+    LOG.debug("{} is to go: {}", name, why);
+  }
+
+  /**
+   * Writes what was asked of one part's list of leaving machines, in one change. A machine stands
+   * there before it is returned, and until its own record is gone.
+   */
+  private void list(Part part) {
+    Map<String, View.Drain> next = new LinkedHashMap<>(view.drains(part));
+    Map<String, View.Drain> put = asked.remove(part);
+    if (put != null) {
+      put.forEach(next::putIfAbsent);
+    }
+    // That the cloud has taken a machine back is durable before anyone acts on it.
+    next.replaceAll((m, d) -> gone.contains(m) ? View.Drain.GONE : d);
+    next.entrySet()
+        .removeIf(
+            e ->
+                e.getValue() == View.Drain.GONE && !view.machines.containsKey(e.getKey())
+                    || cameToUse(part, e.getKey(), e.getValue()));
+    Set<String> cordons = new HashSet<>(view.cordons);
+    cordons.removeIf(m -> next.containsKey(m) || !view.drains(part).containsKey(m));
+    if (next.equals(view.drains(part))) {
+      if (put != null) {
+        draining.removeAll(put.keySet());
+      }
+      return;
+    }
+    ObjectNode v = Json.object();
+    next.forEach((m, d) -> v.put(m, d.name()));
+    String key = Keys.drain(part);
+    Txn txn = new Txn().when(Keys.claim(Keys.DESK), claim).when(key, view.stamp(key)).put(key, v);
+    cordons.forEach(m -> txn.delete(Keys.cordon(m)));
+    busyLists.add(part);
+    store.settle(
+        Store.Urgency.CANCEL,
+        txn,
+        Constants.STATE_TIMEOUT_MS,
+        ok -> {
+          busyLists.remove(part);
+          if (put != null) {
+            draining.removeAll(put.keySet());
+          }
+        });
+  }
+
+  /** Whether a machine that was to go because it was idle got a task before that was durable. */
+  private boolean cameToUse(Part part, String name, View.Drain why) {
+    return why == View.Drain.IDLE
+        && settled(part)
+        && !gone.contains(name)
+        && !view.on(name).isEmpty();
+  }
+
+  /** Whether the copy has all that was placed in the part before its list last changed. */
+  private boolean settled(Part part) {
+    return view.revision() >= view.stamp(Keys.drain(part));
+  }
+
+  /**
+   * Returns what is marked; once the cloud said so, that is durable proof that all on it is gone.
+   */
+  void tick() {
+    long now = clock.now();
+    pruneReturned();
+    List<String> names = new ArrayList<>();
+    gone.removeIf(m -> !view.drains.containsKey(m));
+    for (Part part : membership.parts()) {
+      if (busyLists.contains(part)) {
+        continue;
+      }
+      list(part);
+      if (busyLists.contains(part) || !settled(part)) {
+        continue;
+      }
+      view.drains(part)
+          .forEach(
+              (name, d) -> {
+                if (d != View.Drain.GONE
+                    && !gone.contains(name)
+                    && names.size() < Constants.MAX_RETURN) {
+                  names.add(name);
+                }
+              });
+    }
+    if (names.isEmpty() || returning || now < nextReturn) {
+      return;
+    }
+    returning = true;
+    cloud.giveBack(
+        names,
+        ok -> {
+          if (!ok) {
+            returning = false;
+            nextReturn = clock.now() + Constants.CLOUD_RETRY_MS;
+            return;
+          }
+          LOG.info("returned {}", names);
+          returning = false;
+          gone.addAll(names);
+          returned.addAll(names);
+        });
+  }
+}
--- a/src/main/java/org/baygw/control/model/Records.java
+++ b/src/main/java/org/baygw/control/model/Records.java
@@ -162,6 +162,22 @@
     return out;
   }
 
+  public static ObjectNode rental(Rental r) {
+    return Json.object()
+        .put("type", r.type())
+        .put("zone", r.zone())
+        .put("spot", r.spot())
+        .put("count", r.count());
+  }
+
+  public static Rental rental(JsonNode n) {
+    return new Rental(
+        n.path("type").asText(),
+        n.path("zone").asText(),
+        n.path("spot").asBoolean(),
+        n.path("count").asInt());
+  }
+
   public static ObjectNode types(List<MachineType> types) {
     ObjectNode n = Json.object();
     ArrayNode a = n.putArray("types");
--- a/src/main/java/org/baygw/control/store/View.java
+++ b/src/main/java/org/baygw/control/store/View.java
@@ -21,6 +21,7 @@
 import org.baygw.control.model.Part;
 import org.baygw.control.model.Progress;
 import org.baygw.control.model.Records;
+import org.baygw.control.model.Rental;
 import org.baygw.control.model.Roster;
 import org.baygw.control.model.TaskId;
 import org.slf4j.Logger;
@@ -41,9 +42,6 @@
   /** A live controller; one that does not reach its workers leaves the parts to others. */
   public record Member(String zone, long hold, boolean reaches) {}
 
-  /** A rental that is under way; hosts is null until the cloud has answered. */
-  public record Rental(String type, String zone, boolean spot, int count) {}
-
   /** A machine on its way out. */
   public enum Drain {
     /** Given up: it is returned whatever is on it. */
@@ -381,18 +379,7 @@
                       v.path("hold").asLong(),
                       v.path("reaches").asBoolean(true)),
               stamp);
-      case "rent" ->
-          set(
-              rentals,
-              id,
-              v == null
-                  ? null
-                  : new Rental(
-                      v.path("type").asText(),
-                      v.path("zone").asText(),
-                      v.path("spot").asBoolean(),
-                      v.path("count").asInt()),
-              stamp);
+      case "rent" -> set(rentals, id, v == null ? null : Records.rental(v), stamp);
       case "drain" -> {
         Map<String, Drain> next = new HashMap<>();
         if (v != null) {
