Await slow machines where the cloud is slow, and replace single ones that others overtake

Now a machine is late at 1.6 boot times; overtaken by a newer one it is replaced; many late ones of which none was overtaken are awaited for up to eight.

--- a/src/main/java/org/baygw/control/Constants.java
+++ b/src/main/java/org/baygw/control/Constants.java
@@ -416,6 +416,17 @@
   /** ms a kind of machine is not asked for after "no capacity". */
   public static final long NO_CAPACITY_MS = 8_000;
 
+  /**
+   * Times the nominal boot time after which a machine is late: usually it takes 1.5 at the most.
+   */
+  public static final double BOOT_LATE = 1.6;
+
+  /** Late machines of a type, none overtaken by a newer one, that show that the cloud is slow. */
+  public static final int BOOT_LATE_MANY = 4;
+
+  /** Times the nominal boot time after which a machine is given up where the cloud is slow. */
+  public static final double BOOT_GIVE_UP_SLOW = 8.0;
+
   /** Times the nominal boot time after which a machine is given up. */
   public static final double BOOT_GIVE_UP = 3.0;
 
--- /dev/null
+++ b/src/main/java/org/baygw/control/fleet/BootProgress.java
@@ -0,0 +1,77 @@
+package org.baygw.control.fleet;
+
+import java.util.HashMap;
+import java.util.Map;
+import org.baygw.control.Constants;
+import org.baygw.control.cloud.Cloud;
+import org.baygw.control.model.MachineType;
+import org.baygw.control.store.View;
+
+/**
+ * How long machines that boot are awaited. One that is overtaken by machines rented after it is
+ * slow or broken, and others are rented for it. Where many are late and none overtook them the
+ * cloud is slow: giving them up would only put others at the end of the same wait, and replacing
+ * them would rent all that is needed a second time.
+ */
+final class BootProgress {
+  /** What is expected of a machine that boots. */
+  enum Expectation {
+    /** It counts as coming. */
+    AWAITED,
+    /** It may come, but is not counted on. */
+    REPLACED,
+    /** It is to be returned. */
+    GIVEN_UP
+  }
+
+  private final CloudInventory inventory;
+
+  /** By type, the least age of a machine that is up. */
+  private final Map<String, Double> youngestUpS = new HashMap<>();
+
+  /** By type, how many late machines were not overtaken. */
+  private final Map<String, Integer> late = new HashMap<>();
+
+  BootProgress(View view, CloudInventory inventory) {
+    this.inventory = inventory;
+    for (Cloud.Listed machine : inventory.machines()) {
+      if (machine.status().equals("running") || view.machines.containsKey(machine.name())) {
+        youngestUpS.merge(machine.type(), inventory.ageS(machine), Math::min);
+      }
+    }
+    for (Cloud.Listed machine : inventory.machines()) {
+      MachineType type = view.type(machine.type());
+      boolean booting =
+          machine.status().equals("booting") && !view.machines.containsKey(machine.name());
+      if (type != null
+          && booting
+          && boots(machine, type) > Constants.BOOT_LATE
+          && !overtaken(machine)) {
+        late.merge(machine.type(), 1, Integer::sum);
+      }
+    }
+  }
+
+  Expectation of(Cloud.Listed machine, MachineType type) {
+    double boots = boots(machine, type);
+    if (boots <= Constants.BOOT_LATE) {
+      return Expectation.AWAITED;
+    }
+    if (overtaken(machine)) {
+      return boots > Constants.BOOT_GIVE_UP ? Expectation.GIVEN_UP : Expectation.REPLACED;
+    }
+    boolean cloudIsSlow = late.getOrDefault(machine.type(), 0) >= Constants.BOOT_LATE_MANY;
+    double most = cloudIsSlow ? Constants.BOOT_GIVE_UP_SLOW : Constants.BOOT_GIVE_UP;
+    return boots > most ? Expectation.GIVEN_UP : Expectation.AWAITED;
+  }
+
+  /** The machine's age, in boot times of its type. */
+  private double boots(Cloud.Listed machine, MachineType type) {
+    return inventory.ageS(machine) / type.bootS();
+  }
+
+  private boolean overtaken(Cloud.Listed machine) {
+    return youngestUpS.getOrDefault(machine.type(), Double.POSITIVE_INFINITY)
+        < inventory.ageS(machine);
+  }
+}
--- a/src/main/java/org/baygw/control/fleet/RentalPlanner.java
+++ b/src/main/java/org/baygw/control/fleet/RentalPlanner.java
@@ -64,9 +64,12 @@
     }
   }
 
-  /** Empty machines that the cloud lists and that have not reported yet. */
+  /**
+   * Empty machines that the cloud lists, that have not reported yet, and that are still awaited.
+   */
   private List<Room> booting() {
     List<Room> rooms = new ArrayList<>();
+    BootProgress progress = new BootProgress(view, inventory);
     for (Cloud.Listed machine : inventory.machines()) {
       if (returns.returned(machine.name()) || returns.leaving(machine.name())) {
         continue; // the list lags: the cloud may have taken it back
@@ -76,10 +79,13 @@
       if (machine.status().equals("failed")) {
         returns.drain(machine.name(), machine.zone(), View.Drain.GIVEN_UP);
       } else if (type != null && !up) {
-        if (inventory.ageS(machine) > type.bootS() * Constants.BOOT_GIVE_UP) {
-          returns.drain(machine.name(), machine.zone(), View.Drain.GIVEN_UP);
-        } else {
-          rooms.add(Room.empty(machine.name(), type, machine.zone(), machine.spot()));
+        switch (progress.of(machine, type)) {
+          case AWAITED ->
+              rooms.add(Room.empty(machine.name(), type, machine.zone(), machine.spot()));
+          case REPLACED -> {
+            // It may still come; until then others do its work.
+          }
+          case GIVEN_UP -> returns.drain(machine.name(), machine.zone(), View.Drain.GIVEN_UP);
         }
       }
     }
--- a/src/test/java/org/baygw/control/sim/FakeCloud.java
+++ b/src/test/java/org/baygw/control/sim/FakeCloud.java
@@ -29,6 +29,8 @@
   private long outageUntil;
   private int made;
   private int neverBoot;
+  private int slowBoots;
+  private long slowFactor;
   int capacity = 40;
 
   /** How many of them may be spot machines. */
@@ -49,6 +51,12 @@
     neverBoot = count;
   }
 
+  /** So many of the next machines take that many times as long to boot. */
+  void nextBootSlowly(int count, long factor) {
+    slowBoots = count;
+    slowFactor = factor;
+  }
+
   int size() {
     return machines.size();
   }
@@ -131,7 +139,7 @@
         return;
       }
       for (int i = 0; i < count; i++) {
-        names.add(add(n.path("yard").asText(), spot, bootMs));
+        names.add(add(n.path("yard").asText(), spot, nextBootMs()));
         rentals++;
       }
       ObjectNode out = Json.object();
@@ -142,6 +150,10 @@
     respond.done(200, Json.bytes(bookings.get(booking)));
   }
 
+  private long nextBootMs() {
+    return slowBoots-- > 0 ? bootMs * slowFactor : bootMs;
+  }
+
   private byte[] types() {
     ObjectNode out = Json.object();
     ObjectNode t = out.putArray("builds").addObject();
--- a/src/test/java/org/baygw/control/sim/Scenario.java
+++ b/src/test/java/org/baygw/control/sim/Scenario.java
@@ -109,6 +109,7 @@
           o.forEach(
               (k, v) -> {
                 switch (k) {
+                  case "slow-boots" -> world.cloud.nextBootSlowly(Integer.parseInt(v), 4);
                   case "spot-capacity" -> world.cloud.spotCapacity = Integer.parseInt(v);
                   case "capacity" -> world.cloud.capacity = Integer.parseInt(v);
                   case "boot" -> world.cloud.bootMs = seconds(v);
