--- a/src/main/java/org/baygw/control/Constants.java
+++ b/src/main/java/org/baygw/control/Constants.java
@@ -15,61 +15,64 @@
   public static final int MACHINE_TASKS = 200;
 
   /**
-   * Share of the state service's value limit up to which a page of a part's record takes new tasks.
+   * Share of the state service's value limit up to which a page of a partition's record takes new
+   * tasks.
    */
-  public static final double ROSTER_FULL = 0.85;
+  public static final double RECORD_FULL = 0.85;
 
   /** Share of the value limit that ended tasks may take before progress takes them over. */
-  public static final double ROSTER_ENDED = 0.3;
+  public static final double RECORD_ENDED = 0.3;
 
   /**
    * Share of it that what a page's machines have to do takes when the record gets twice the pages:
    * with what has ended there the page is nearly full then.
    */
-  public static final double ROSTER_CROWDED = 0.5;
+  public static final double RECORD_CROWDED = 0.5;
 
   /**
    * Share of a write's changes and bytes that pages take: the rest is for jobs, machines and moves.
    */
-  public static final double ROSTER_WRITE_SHARE = 0.75;
+  public static final double RECORD_WRITE_SHARE = 0.75;
 
   /** Bytes of a page kept free for what ends: it moves from one list to another, and may grow. */
-  public static final int ROSTER_SPARE_BYTES = 200;
+  public static final int RECORD_SPARE_BYTES = 200;
 
   /** Bytes an entry of a page takes beside its name and text: quotes, colon, comma. */
-  public static final int ROSTER_ENTRY_BYTES = 6;
+  public static final int RECORD_ENTRY_BYTES = 6;
 
   /** Bytes a task takes of it, about, with its share of its job's name. */
-  public static final int ROSTER_TASK_BYTES = 8;
+  public static final int RECORD_TASK_BYTES = 8;
 
   /**
-   * Machines whose ends go into one write: a part has some forty, and a write is at most 64 KiB.
+   * Machines whose ends go into one write: a partition has some forty, and a write is at most 64
+   * KiB.
    */
   public static final int MACHINES_PER_WRITE = 64;
 
   /** Jobs whose ended tasks are taken over at the same time: it is never urgent. */
   public static final int FOLDS = 4;
 
-  /** Divisions of the parts kept, by members: they change by one or two at a time. */
+  /** Divisions of the partitions kept, by members: they change by one or two at a time. */
   public static final int OWNERS_KEPT = 8;
 
   /**
-   * ms between two writes of a part's record while tokens are scarce: what ends meanwhile shares
-   * one.
+   * ms between two writes of a partition's record while tokens are scarce: what ends meanwhile
+   * shares one.
    */
-  public static final long ROSTER_PACE_MS = 400;
+  public static final long RECORD_PACE_MS = 400;
 
   /**
    * ms added to that for each further page: a write takes as many changes as pages, and grants need
    * some.
    */
-  public static final long ROSTER_PACE_MS_A_PAGE = 40;
+  public static final long RECORD_PACE_MS_A_PAGE = 40;
 
   /** ms between two tries to place what found no room, while nothing else calls for a write. */
   public static final long PLACE_AGAIN_MS = 100;
 
   /**
-   * Machines' own records deleted in one write of their part's record; the rest waits for the next.
+   * Machines' own records deleted in one write of their partition's record; the rest waits for the
+   * next.
    */
   public static final int DELETES_PER_WRITE = 6;
 
@@ -89,8 +92,8 @@
   public static final long HOLD_TOUCH_MS = 1_500;
 
   /**
-   * ms a controller must be seen before parts are handed to it: long enough not to chase one that
-   * flaps.
+   * ms a controller must be seen before partitions are handed to it: long enough not to chase one
+   * that flaps.
    */
   public static final long SETTLE_MS = 1_000;
 
@@ -128,16 +131,16 @@
   public static final long CANCEL_MARGIN_MS = 500;
 
   /** Tries to learn of cancellations within the time for which that knowledge is recent. */
-  public static final int HORIZON_TRIES = 4;
+  public static final int WATERMARK_TRIES = 4;
 
   /** ms at least between two of them, however short that time is. */
-  public static final long HORIZON_PERIOD_MIN_MS = 250;
+  public static final long WATERMARK_PERIOD_MIN_MS = 250;
 
   /**
    * ms of that time below which ordinary delays end leases: a watch and two lost answers take so
    * long.
    */
-  public static final long HORIZON_TIGHT_MS = 8_000;
+  public static final long WATERMARK_TIGHT_MS = 8_000;
 
   /** Significant digits of histograms: 1% is enough for latencies and keeps them small. */
   public static final int HISTOGRAM_DIGITS = 2;
@@ -180,8 +183,8 @@
   /** ms before a failed state call is tried again: no busy loop in an outage, back soon after. */
   public static final long STATE_RETRY_MS = 250;
 
-  /** Shares of the state service's limits that the desk's controller takes beside its own one. */
-  public static final double DESK_SHARES = 1;
+  /** Shares of the state service's limits that the leader's controller takes beside its own one. */
+  public static final double LEADER_SHARES = 1;
 
   /**
    * Times the limit that all shares add up to: seldom do all controllers write at the same time.
@@ -344,13 +347,14 @@
   public static final double CANCELLATION_LAST_SHARE = 0.8;
 
   /**
-   * ms a granted task may wait in a part with no fitting machine before it goes back to the queue.
+   * ms a granted task may wait in a partition with no fitting machine before it goes back to the
+   * queue.
    */
   public static final long UNGRANT_MS = 4_000;
 
   /**
-   * ms for which a part that gave a job's tasks back unplaced gets more of them only if no other
-   * has room.
+   * ms for which a partition that gave a job's tasks back unplaced gets more of them only if no
+   * other has room.
    */
   public static final long AVOID_MS = 20_000;
 
@@ -362,19 +366,19 @@
   /** ms between looks at all tasks of all its machines, for what no change brought to notice. */
   public static final long LOOK_ALL_MS = 1_500;
 
-  /** ms between the desk's passes over the queue. */
-  public static final long DESK_PASS_MS = 100;
+  /** ms between the leader's passes over the queue. */
+  public static final long SCHEDULER_PASS_MS = 100;
 
   /** ms added to that while nothing has changed: only waiting times grow meanwhile. */
-  public static final long DESK_IDLE_PASS_MS = 1_000;
+  public static final long SCHEDULER_IDLE_PASS_MS = 1_000;
 
   /**
    * ms added to that for each machine: a pass looks at each, and may not take most of a processor.
    */
-  public static final double DESK_PASS_MS_A_MACHINE = 0.2;
+  public static final double SCHEDULER_PASS_MS_A_MACHINE = 0.2;
 
   /** ms between them while tokens for writes are scarce: more tasks of a job share a grant. */
-  public static final long DESK_SCARCE_MS = 400;
+  public static final long SCHEDULER_SCARCE_MS = 400;
 
   /**
    * ms for which tasks that found no room keep their share of the team's limit: about a boot of the
@@ -383,8 +387,8 @@
    */
   public static final long LIMIT_RESERVED_MS = 60_000;
 
-  /** ms between two looks for what the desk need not remember any more. */
-  public static final long DESK_CLEAN_MS = 10_000;
+  /** ms between two looks for what the leader need not remember any more. */
+  public static final long SCHEDULER_CLEAN_MS = 10_000;
 
   /** Errors on a machine with no completed task in between that make it sick. */
   public static final int SICK_ERRORS = 3;
@@ -505,7 +509,7 @@
    */
   public static final int PREEMPT_LOOKS = 120;
 
-  /** Tasks the desk may stop in one pass to make room. */
+  /** Tasks the leader may stop in one pass to make room. */
   public static final int PREEMPT_PER_PASS = 16;
 
   /** Relative slack when amounts are compared: they are sums of decimals. */
--- a/src/main/java/org/baygw/control/Controller.java
+++ b/src/main/java/org/baygw/control/Controller.java
@@ -9,12 +9,12 @@
 import org.baygw.control.core.Outbox;
 import org.baygw.control.fleet.Fleet;
 import org.baygw.control.jobs.Jobs;
-import org.baygw.control.membership.CancellationHorizon;
+import org.baygw.control.membership.CancellationWatermark;
 import org.baygw.control.membership.Membership;
 import org.baygw.control.membership.Peers;
 import org.baygw.control.quota.Scheduler;
+import org.baygw.control.store.StateCache;
 import org.baygw.control.store.Store;
-import org.baygw.control.store.View;
 import org.baygw.control.workers.Workers;
 
 /**
@@ -25,7 +25,7 @@
 public final class Controller {
   private final Clock clock = new Clock();
   private final Outbox out = new Outbox();
-  private final View view = new View();
+  private final StateCache view = new StateCache();
   private final Store store;
   private final Membership membership;
   private final Peers peers;
@@ -42,8 +42,8 @@
     this.peers = new Peers(clock, out, settings, store, view);
     this.jobs = new Jobs(clock, out, settings, store, view, peers);
     this.cloud = new Cloud(clock, out, settings);
-    CancellationHorizon horizon = new CancellationHorizon(clock, settings, store, peers);
-    this.workers = new Workers(clock, out, settings, store, view, membership, horizon, cloud);
+    CancellationWatermark watermark = new CancellationWatermark(clock, settings, store, peers);
+    this.workers = new Workers(clock, out, settings, store, view, membership, watermark, cloud);
     this.scheduler = new Scheduler(clock, settings, store, view, membership);
     this.fleet = new Fleet(clock, settings, store, view, membership, cloud, scheduler);
     this.admin = new Admin(clock, out, settings, store, view, membership, workers, scheduler);
--- a/src/main/java/org/baygw/control/Main.java
+++ b/src/main/java/org/baygw/control/Main.java
@@ -5,8 +5,8 @@
 import java.util.concurrent.Callable;
 import org.baygw.control.config.Settings;
 import org.baygw.control.config.SettingsReader;
+import org.baygw.control.net.EventLoop;
 import org.baygw.control.net.SelfCheck;
-import org.baygw.control.net.Shell;
 import org.slf4j.LoggerFactory;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
@@ -86,7 +86,7 @@
       System.err.println("baygw: " + e.getMessage());
       return BAD_USAGE;
     }
-    new Shell(settings).start();
+    new EventLoop(settings).start();
     LoggerFactory.getLogger(Main.class)
         .info("{} listens on port {}", settings.label(), settings.listen().port());
     return RUNS;
--- a/src/main/java/org/baygw/control/admin/Admin.java
+++ b/src/main/java/org/baygw/control/admin/Admin.java
@@ -13,16 +13,16 @@
 import org.baygw.control.core.Outbox;
 import org.baygw.control.membership.Membership;
 import org.baygw.control.model.Machine;
-import org.baygw.control.model.Params;
-import org.baygw.control.model.Part;
+import org.baygw.control.model.Partition;
+import org.baygw.control.model.SchedulingParameters;
 import org.baygw.control.quota.Scheduler;
 import org.baygw.control.store.Keys;
+import org.baygw.control.store.StateCache;
 import org.baygw.control.store.Store;
 import org.baygw.control.store.Txn;
-import org.baygw.control.store.View;
 import org.baygw.control.workers.Workers;
 
-/** The operators' side: open parameters, members, parts, machines, draining and metrics. */
+/** The operators' side: open parameters, members, partitions, machines, draining and metrics. */
 public final class Admin {
   private static final String ROOT = "/admin/v1";
 
@@ -30,18 +30,18 @@
   private final Outbox out;
   private final Settings settings;
   private final Store store;
-  private final View view;
+  private final StateCache view;
   private final Membership membership;
   private final Workers workers;
   private final Scheduler scheduler;
-  private Meters meters;
+  private Metrics metrics;
 
   public Admin(
       Clock clock,
       Outbox out,
       Settings settings,
       Store store,
-      View view,
+      StateCache view,
       Membership membership,
       Workers workers,
       Scheduler scheduler) {
@@ -61,7 +61,8 @@
       case "/metrics" -> only("GET", request, method, () -> metrics(request));
       case ROOT + "/members" ->
           only("GET", request, method, () -> current(request, () -> members()));
-      case ROOT + "/parts" -> only("GET", request, method, () -> current(request, () -> parts()));
+      case ROOT + "/partitions" ->
+          only("GET", request, method, () -> current(request, () -> partitions()));
       case ROOT + "/machines" ->
           only("GET", request, method, () -> current(request, () -> machines()));
       case ROOT + "/params" -> {
@@ -123,7 +124,7 @@
     whenCurrent(
         request,
         ok -> {
-          Params next;
+          SchedulingParameters next;
           try {
             next = view.params.with(n);
           } catch (IllegalArgumentException e) {
@@ -140,7 +141,7 @@
     whenCurrent(
         request,
         ok -> {
-          View.Entry<Machine> m = view.machines.get(name);
+          StateCache.Entry<Machine> m = view.machines.get(name);
           if (m == null) {
             error(request, 404, "no such machine");
             return;
@@ -172,14 +173,14 @@
           ObjectNode o = a.addObject().put("label", label).put("zone", e.value().zone());
           o.put("self", label.equals(settings.label()));
         });
-    View.Entry<View.Claim> d = view.claims.get(Keys.DESK);
-    return n.put("desk", d == null ? null : d.value().owner()).put("revision", view.revision());
+    StateCache.Entry<StateCache.Claim> d = view.claims.get(Keys.LEADER);
+    return n.put("leader", d == null ? null : d.value().owner()).put("revision", view.revision());
   }
 
-  private ObjectNode parts() {
+  private ObjectNode partitions() {
     ObjectNode n = Json.object();
-    ArrayNode a = n.putArray("parts");
-    for (Part p : membership.parts()) {
+    ArrayNode a = n.putArray("partitions");
+    for (Partition p : membership.partitions()) {
       ObjectNode o = a.addObject().put("part", p.toString()).put("owner", membership.owner(p));
       o.put("granted_tasks", view.granted(p));
     }
@@ -189,7 +190,7 @@
   private ObjectNode machines() {
     ObjectNode n = Json.object();
     ArrayNode a = n.putArray("machines");
-    for (View.Entry<Machine> e : new TreeMap<>(view.machines).values()) {
+    for (StateCache.Entry<Machine> e : new TreeMap<>(view.machines).values()) {
       Machine m = e.value();
       ObjectNode o = a.addObject().put("name", m.name()).put("type", m.type());
       o.put("zone", m.zone()).put("spot", m.spot()).put("part", m.part().toString());
@@ -202,21 +203,21 @@
   }
 
   private void metrics(long request) {
-    if (meters == null) {
-      meters = new Meters();
-      meters.gauge("baygw.revision", "Revision the copy has reached", view, View::revision);
-      meters.gauge("baygw.machines", "Machines on record", view, v -> v.machines.size());
-      meters.gauge("baygw.jobs", "Jobs on record", view, v -> v.jobs.size());
-      meters.gauge(
+    if (metrics == null) {
+      metrics = new Metrics();
+      metrics.gauge("baygw.revision", "Revision the copy has reached", view, StateCache::revision);
+      metrics.gauge("baygw.machines", "Machines on record", view, v -> v.machines.size());
+      metrics.gauge("baygw.jobs", "Jobs on record", view, v -> v.jobs.size());
+      metrics.gauge(
           "baygw.unmet", "Tasks without room, at the leader", scheduler, Scheduler::unmetTasks);
-      meters.counter("baygw.rounds", "Rounds searched", workers, w -> w.rounds().searched());
-      meters.counter(
+      metrics.counter("baygw.rounds", "Rounds searched", workers, w -> w.rounds().searched());
+      metrics.counter(
           "baygw.rounds.better", "Rounds that improved", workers, w -> w.rounds().found());
-      meters.counter("baygw.moves", "Moves planned", workers, w -> w.rounds().planned());
-      meters.histogram("baygw.launch.ms", "From acceptance to launch", workers.launchMs());
-      meters.histogram("baygw.write.ms", "Conditional writes, with their wait", store.writeMs());
+      metrics.counter("baygw.moves", "Moves planned", workers, w -> w.rounds().planned());
+      metrics.histogram("baygw.launch.ms", "From acceptance to launch", workers.launchMs());
+      metrics.histogram("baygw.write.ms", "Conditional writes, with their wait", store.writeMs());
     }
-    out.answer(request, 200, meters.page().getBytes(StandardCharsets.UTF_8));
+    out.answer(request, 200, metrics.page().getBytes(StandardCharsets.UTF_8));
   }
 
   private void error(long request, int status, String why) {
--- a/src/main/java/org/baygw/control/admin/Meters.java
+++ b/src/main/java/org/baygw/control/admin/Metrics.java
@@ -12,13 +12,13 @@
  * The metrics page. The slices count in plain fields; the registry reads them. It is made at the
  * first request for the page, because its classes would slow every start.
  */
-final class Meters {
+final class Metrics {
   private static final double[] PERCENTILES = {50, 90, 99, 100};
 
   private final PrometheusMeterRegistry registry =
       new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
 
-  Meters() {
+  Metrics() {
     new JvmMemoryMetrics().bindTo(registry);
   }
 
--- a/src/main/java/org/baygw/control/cloud/Cloud.java
+++ b/src/main/java/org/baygw/control/cloud/Cloud.java
@@ -52,7 +52,8 @@
     this.clock = clock;
     this.out = out;
     this.addr = s.cloudAddr();
-    // Only the desk calls the cloud often; a little is left for a former desk's last calls, and for
+    // Only the leader calls the cloud often; a little is left for a former leader's last calls, and
+    // for
     // owners that return a machine with a cancelled task.
     this.bucket = new TokenBucket(s.cloud().rps() * 0.9, s.cloud().rps());
     for (int i = 0; i <= READ; i++) {
--- a/src/main/java/org/baygw/control/config/Settings.java
+++ b/src/main/java/org/baygw/control/config/Settings.java
@@ -65,7 +65,7 @@
      * ms for which knowledge of cancellations is recent enough to renew a lease: what a lease
      * leaves of a cancellation's time, by this controller's steady clock.
      */
-    public long horizonMs() {
+    public long watermarkMs() {
       return (long)
           (cancelS * 1000 * (1 - Constants.DRIFT)
               - leaseS * 1000 * (1 + Constants.DRIFT)
@@ -73,9 +73,10 @@
     }
 
     /** ms after which such knowledge is to be drawn anew, at most the given. */
-    public long horizonPeriodMs(long mostMs) {
+    public long watermarkPeriodMs(long mostMs) {
       return Math.max(
-          Constants.HORIZON_PERIOD_MIN_MS, Math.min(mostMs, horizonMs() / Constants.HORIZON_TRIES));
+          Constants.WATERMARK_PERIOD_MIN_MS,
+          Math.min(mostMs, watermarkMs() / Constants.WATERMARK_TRIES));
     }
   }
 
--- a/src/main/java/org/baygw/control/fleet/BootProgress.java
+++ b/src/main/java/org/baygw/control/fleet/BootProgress.java
@@ -5,7 +5,7 @@
 import org.baygw.control.Constants;
 import org.baygw.control.cloud.Cloud;
 import org.baygw.control.model.MachineType;
-import org.baygw.control.store.View;
+import org.baygw.control.store.StateCache;
 
 /**
  * How long machines that boot are awaited. One that is overtaken by machines rented after it is
@@ -32,7 +32,7 @@
   /** By type, how many late machines were not overtaken. */
   private final Map<String, Integer> late = new HashMap<>();
 
-  BootProgress(View view, CloudInventory inventory) {
+  BootProgress(StateCache view, CloudInventory inventory) {
     this.inventory = inventory;
     for (Cloud.Listed machine : inventory.machines()) {
       if (machine.status().equals("running") || view.machines.containsKey(machine.name())) {
--- a/src/main/java/org/baygw/control/fleet/CloudInventory.java
+++ b/src/main/java/org/baygw/control/fleet/CloudInventory.java
@@ -11,15 +11,15 @@
 import org.baygw.control.model.MachineType;
 import org.baygw.control.model.Records;
 import org.baygw.control.store.Keys;
+import org.baygw.control.store.StateCache;
 import org.baygw.control.store.Store;
 import org.baygw.control.store.Txn;
-import org.baygw.control.store.View;
 
 /** What the cloud says there is: its machine types, and its list of machines, which lags. */
 final class CloudInventory {
   private final Clock clock;
   private final Store store;
-  private final View view;
+  private final StateCache view;
   private final Membership membership;
   private final Cloud cloud;
   private Map<String, Cloud.Listed> listed = new LinkedHashMap<>();
@@ -29,7 +29,7 @@
   private boolean typing;
   private long nextTypes;
 
-  CloudInventory(Clock clock, Store store, View view, Membership membership, Cloud cloud) {
+  CloudInventory(Clock clock, Store store, StateCache view, Membership membership, Cloud cloud) {
     this.clock = clock;
     this.store = store;
     this.view = view;
@@ -88,11 +88,11 @@
     typing = false;
     boolean read = types != null && !types.isEmpty();
     nextTypes = clock.now() + (read ? Constants.TYPES_MS : Constants.CLOUD_RETRY_MS);
-    if (read && !types.equals(view.types) && membership.desk() != 0) {
+    if (read && !types.equals(view.types) && membership.leadership() != 0) {
       store.txn(
           Store.Urgency.SUBMIT,
           new Txn()
-              .when(Keys.claim(Keys.DESK), membership.desk())
+              .when(Keys.claim(Keys.LEADER), membership.leadership())
               .put(Keys.TYPES, Records.types(types)),
           Constants.STATE_TIMEOUT_MS,
           outcome -> {
--- a/src/main/java/org/baygw/control/fleet/Fleet.java
+++ b/src/main/java/org/baygw/control/fleet/Fleet.java
@@ -6,14 +6,14 @@
 import org.baygw.control.core.Clock;
 import org.baygw.control.membership.Membership;
 import org.baygw.control.quota.Scheduler;
+import org.baygw.control.store.StateCache;
 import org.baygw.control.store.Store;
-import org.baygw.control.store.View;
 
 /** Rents and returns machines, at the leader. */
 public final class Fleet {
   private final Clock clock;
   private final Store store;
-  private final View view;
+  private final StateCache view;
   private final Membership membership;
   private final Scheduler scheduler;
   private final CloudInventory inventory;
@@ -29,7 +29,7 @@
       Clock clock,
       Settings settings,
       Store store,
-      View view,
+      StateCache view,
       Membership membership,
       Cloud cloud,
       Scheduler scheduler) {
@@ -47,11 +47,11 @@
 
   /** Time has passed, or something has changed. */
   public void tick() {
-    if (!store.loaded() || membership.desk() == 0) {
+    if (!store.loaded() || membership.leadership() == 0) {
       return;
     }
-    if (claim != membership.desk()) {
-      claim = membership.desk();
+    if (claim != membership.leadership()) {
+      claim = membership.leadership();
       inventory.reset();
       rentals.reset(claim);
       spare.reset();
--- a/src/main/java/org/baygw/control/fleet/MachineKind.java
+++ b/src/main/java/org/baygw/control/fleet/MachineKind.java
@@ -2,8 +2,8 @@
 
 import org.baygw.control.model.MachineType;
 import org.baygw.control.model.Rental;
-import org.baygw.control.placement.Room;
-import org.baygw.control.store.View;
+import org.baygw.control.placement.MachineCapacity;
+import org.baygw.control.store.StateCache;
 
 /**
  * A kind of machine at one place, as it is rented.
@@ -16,9 +16,9 @@
   }
 
   /** An empty machine of the kind, or null where its type is unknown. */
-  Room room(View view, String machine) {
+  MachineCapacity room(StateCache view, String machine) {
     MachineType known = view.type(type);
-    return known == null ? null : Room.empty(machine, known, zone, spot);
+    return known == null ? null : MachineCapacity.empty(machine, known, zone, spot);
   }
 
   @Override
--- a/src/main/java/org/baygw/control/fleet/RentalPlanner.java
+++ b/src/main/java/org/baygw/control/fleet/RentalPlanner.java
@@ -8,18 +8,18 @@
 import org.baygw.control.cloud.Cloud;
 import org.baygw.control.model.JobSpec;
 import org.baygw.control.model.MachineType;
-import org.baygw.control.placement.Room;
+import org.baygw.control.placement.MachineCapacity;
 import org.baygw.control.quota.UnmetDemand;
-import org.baygw.control.store.View;
+import org.baygw.control.store.StateCache;
 
 /** Works out what to rent for the tasks that found no room, counting what is on its way. */
 final class RentalPlanner {
-  private final View view;
+  private final StateCache view;
   private final CloudInventory inventory;
   private final Rentals rentals;
   private final Returns returns;
 
-  RentalPlanner(View view, CloudInventory inventory, Rentals rentals, Returns returns) {
+  RentalPlanner(StateCache view, CloudInventory inventory, Rentals rentals, Returns returns) {
     this.view = view;
     this.inventory = inventory;
     this.rentals = rentals;
@@ -29,12 +29,12 @@
   /** Books what is missing, and gives up machines that failed or do not come up. */
   void plan(List<UnmetDemand> unmet) {
     rentals.expire();
-    List<Room> rooms = booting();
+    List<MachineCapacity> rooms = booting();
     rooms.addAll(rentals.coming());
     Map<MachineKind, Integer> wanted = new LinkedHashMap<>();
     for (UnmetDemand demand : unmet) {
       int left = demand.count();
-      for (Room room : rooms) {
+      for (MachineCapacity room : rooms) {
         if (left > 0 && (demand.zone() == null || demand.zone().equals(room.machine().zone()))) {
           left = room.fill(demand.spec(), left);
         }
@@ -46,7 +46,10 @@
 
   /** Adds machines for so many tasks to what is wanted, as far as there is a kind for them. */
   private void want(
-      UnmetDemand demand, int tasks, List<Room> rooms, Map<MachineKind, Integer> wanted) {
+      UnmetDemand demand,
+      int tasks,
+      List<MachineCapacity> rooms,
+      Map<MachineKind, Integer> wanted) {
     int left = tasks;
     while (left > 0) {
       MachineKind kind = choose(demand, wanted);
@@ -54,7 +57,7 @@
         return;
       }
       wanted.merge(kind, 1, Integer::sum);
-      Room room = kind.room(view, "");
+      MachineCapacity room = kind.room(view, "");
       int before = left;
       left = room.fill(demand.spec(), left);
       rooms.add(room);
@@ -67,8 +70,8 @@
   /**
    * Empty machines that the cloud lists, that have not reported yet, and that are still awaited.
    */
-  private List<Room> booting() {
-    List<Room> rooms = new ArrayList<>();
+  private List<MachineCapacity> booting() {
+    List<MachineCapacity> rooms = new ArrayList<>();
     BootProgress progress = new BootProgress(view, inventory);
     for (Cloud.Listed machine : inventory.machines()) {
       if (returns.returned(machine.name()) || returns.leaving(machine.name())) {
@@ -77,15 +80,16 @@
       MachineType type = view.type(machine.type());
       boolean up = view.machines.containsKey(machine.name());
       if (machine.status().equals("failed")) {
-        returns.drain(machine.name(), machine.zone(), View.Drain.GIVEN_UP);
+        returns.drain(machine.name(), machine.zone(), StateCache.Drain.GIVEN_UP);
       } else if (type != null && !up) {
         switch (progress.of(machine, type)) {
           case AWAITED ->
-              rooms.add(Room.empty(machine.name(), type, machine.zone(), machine.spot()));
+              rooms.add(
+                  MachineCapacity.empty(machine.name(), type, machine.zone(), machine.spot()));
           case REPLACED -> {
             // It may still come; until then others do its work.
           }
-          case GIVEN_UP -> returns.drain(machine.name(), machine.zone(), View.Drain.GIVEN_UP);
+          case GIVEN_UP -> returns.drain(machine.name(), machine.zone(), StateCache.Drain.GIVEN_UP);
         }
       }
     }
--- a/src/main/java/org/baygw/control/fleet/Rentals.java
+++ b/src/main/java/org/baygw/control/fleet/Rentals.java
@@ -13,11 +13,11 @@
 import org.baygw.control.core.Clock;
 import org.baygw.control.model.Records;
 import org.baygw.control.model.Rental;
-import org.baygw.control.placement.Room;
+import org.baygw.control.placement.MachineCapacity;
 import org.baygw.control.store.Keys;
+import org.baygw.control.store.StateCache;
 import org.baygw.control.store.Store;
 import org.baygw.control.store.Txn;
-import org.baygw.control.store.View;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -36,7 +36,7 @@
 
   private final Clock clock;
   private final Store store;
-  private final View view;
+  private final StateCache view;
   private final Cloud cloud;
   private final CloudInventory inventory;
 
@@ -68,7 +68,7 @@
       Clock clock,
       Settings settings,
       Store store,
-      View view,
+      StateCache view,
       Cloud cloud,
       CloudInventory inventory) {
     this.clock = clock;
@@ -95,8 +95,8 @@
   }
 
   /** Empty machines that are rented or are being rented, as far as the cloud does not list them. */
-  List<Room> coming() {
-    List<Room> rooms = new ArrayList<>();
+  List<MachineCapacity> coming() {
+    List<MachineCapacity> rooms = new ArrayList<>();
     expected.forEach((name, machine) -> addRoom(rooms, machine.kind(), name));
     Map<String, Rental> unanswered = new LinkedHashMap<>(unwritten);
     view.rentals.forEach((name, rental) -> unanswered.put(name, rental.value()));
@@ -109,8 +109,8 @@
     return rooms;
   }
 
-  private void addRoom(List<Room> rooms, MachineKind kind, String machine) {
-    Room room = kind.room(view, machine);
+  private void addRoom(List<MachineCapacity> rooms, MachineKind kind, String machine) {
+    MachineCapacity room = kind.room(view, machine);
     if (room != null) {
       rooms.add(room);
     }
@@ -140,7 +140,7 @@
    */
   void tick() {
     expire();
-    for (Map.Entry<String, View.Entry<Rental>> entry : view.rentals.entrySet()) {
+    for (Map.Entry<String, StateCache.Entry<Rental>> entry : view.rentals.entrySet()) {
       String name = entry.getKey();
       if (answered.containsKey(name)) {
         forgetWhenKnown(name, entry.getValue().stamp());
@@ -170,7 +170,7 @@
     store.settle(
         Store.Urgency.GRANT,
         new Txn()
-            .when(Keys.claim(Keys.DESK), claim)
+            .when(Keys.claim(Keys.LEADER), claim)
             .when(Keys.rental(name), 0)
             .put(Keys.rental(name), Records.rental(rental)),
         Constants.STATE_TIMEOUT_MS,
@@ -180,7 +180,7 @@
         });
   }
 
-  private void send(String name, View.Entry<Rental> entry) {
+  private void send(String name, StateCache.Entry<Rental> entry) {
     Rental rental = entry.value();
     busy.add(name);
     cloud.rent(
@@ -229,7 +229,7 @@
     store.settle(
         Store.Urgency.GRANT,
         new Txn()
-            .when(Keys.claim(Keys.DESK), claim)
+            .when(Keys.claim(Keys.LEADER), claim)
             .when(Keys.rental(name), stamp)
             .delete(Keys.rental(name)),
         Constants.STATE_TIMEOUT_MS,
--- a/src/main/java/org/baygw/control/fleet/Returns.java
+++ b/src/main/java/org/baygw/control/fleet/Returns.java
@@ -13,11 +13,11 @@
 import org.baygw.control.core.Clock;
 import org.baygw.control.core.Json;
 import org.baygw.control.membership.Membership;
-import org.baygw.control.model.Part;
+import org.baygw.control.model.Partition;
 import org.baygw.control.store.Keys;
+import org.baygw.control.store.StateCache;
 import org.baygw.control.store.Store;
 import org.baygw.control.store.Txn;
-import org.baygw.control.store.View;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -30,7 +30,7 @@
 
   private final Clock clock;
   private final Store store;
-  private final View view;
+  private final StateCache view;
   private final Membership membership;
   private final Cloud cloud;
   private final CloudInventory inventory;
@@ -40,10 +40,10 @@
   /** Marks that are to be written or are being written. */
   private final Set<String> draining = new HashSet<>();
 
-  private final Map<Part, Map<String, View.Drain>> asked = new HashMap<>();
+  private final Map<Partition, Map<String, StateCache.Drain>> asked = new HashMap<>();
 
   /** Partitions whose list of leaving machines is being written. */
-  private final Set<Part> busyLists = new HashSet<>();
+  private final Set<Partition> busyLists = new HashSet<>();
 
   /** Machines the cloud has taken back, until that is durable and they are off the list. */
   private final Set<String> gone = new HashSet<>();
@@ -57,7 +57,7 @@
   Returns(
       Clock clock,
       Store store,
-      View view,
+      StateCache view,
       Membership membership,
       Cloud cloud,
       CloudInventory inventory) {
@@ -97,29 +97,29 @@
   }
 
   /** Marks a machine for return. */
-  void drain(String name, String zone, View.Drain why) {
-    Part part = Part.of(name, zone, view.partsPerZone());
+  void drain(String name, String zone, StateCache.Drain why) {
+    Partition part = Partition.of(name, zone, view.partitionsPerZone());
     asked.computeIfAbsent(part, k -> new LinkedHashMap<>()).put(name, why);
     draining.add(name);
     LOG.debug("{} is to go: {}", name, why);
   }
 
   /**
-   * Writes what was asked of one part's list of leaving machines, in one change. A machine stands
-   * there before it is returned, and until its own record is gone.
+   * Writes what was asked of one partition's list of leaving machines, in one change. A machine
+   * stands there before it is returned, and until its own record is gone.
    */
-  private void list(Part part) {
-    Map<String, View.Drain> next = new LinkedHashMap<>(view.drains(part));
-    Map<String, View.Drain> put = asked.remove(part);
+  private void list(Partition part) {
+    Map<String, StateCache.Drain> next = new LinkedHashMap<>(view.drains(part));
+    Map<String, StateCache.Drain> put = asked.remove(part);
     if (put != null) {
       put.forEach(next::putIfAbsent);
     }
     // That the cloud has taken a machine back is durable before anyone acts on it.
-    next.replaceAll((m, d) -> gone.contains(m) ? View.Drain.GONE : d);
+    next.replaceAll((m, d) -> gone.contains(m) ? StateCache.Drain.GONE : d);
     next.entrySet()
         .removeIf(
             e ->
-                e.getValue() == View.Drain.GONE && !view.machines.containsKey(e.getKey())
+                e.getValue() == StateCache.Drain.GONE && !view.machines.containsKey(e.getKey())
                     || cameToUse(part, e.getKey(), e.getValue()));
     Set<String> cordons = new HashSet<>(view.cordons);
     cordons.removeIf(m -> next.containsKey(m) || !view.drains(part).containsKey(m));
@@ -132,7 +132,7 @@
     ObjectNode v = Json.object();
     next.forEach((m, d) -> v.put(m, d.name()));
     String key = Keys.drain(part);
-    Txn txn = new Txn().when(Keys.claim(Keys.DESK), claim).when(key, view.stamp(key)).put(key, v);
+    Txn txn = new Txn().when(Keys.claim(Keys.LEADER), claim).when(key, view.stamp(key)).put(key, v);
     cordons.forEach(m -> txn.delete(Keys.cordon(m)));
     busyLists.add(part);
     store.settle(
@@ -148,15 +148,15 @@
   }
 
   /** Whether a machine that was to go because it was idle got a task before that was durable. */
-  private boolean cameToUse(Part part, String name, View.Drain why) {
-    return why == View.Drain.IDLE
+  private boolean cameToUse(Partition part, String name, StateCache.Drain why) {
+    return why == StateCache.Drain.IDLE
         && settled(part)
         && !gone.contains(name)
         && !view.on(name).isEmpty();
   }
 
-  /** Whether the copy has all that was placed in the part before its list last changed. */
-  private boolean settled(Part part) {
+  /** Whether the copy has all that was placed in the partition before its list last changed. */
+  private boolean settled(Partition part) {
     return view.revision() >= view.stamp(Keys.drain(part));
   }
 
@@ -168,7 +168,7 @@
     pruneReturned();
     List<String> names = new ArrayList<>();
     gone.removeIf(m -> !view.drains.containsKey(m));
-    for (Part part : membership.parts()) {
+    for (Partition part : membership.partitions()) {
       if (busyLists.contains(part)) {
         continue;
       }
@@ -179,7 +179,7 @@
       view.drains(part)
           .forEach(
               (name, d) -> {
-                if (d != View.Drain.GONE
+                if (d != StateCache.Drain.GONE
                     && !gone.contains(name)
                     && names.size() < Constants.MAX_RETURN) {
                   names.add(name);
--- a/src/main/java/org/baygw/control/fleet/SpareMachines.java
+++ b/src/main/java/org/baygw/control/fleet/SpareMachines.java
@@ -13,9 +13,9 @@
 import org.baygw.control.model.Machine;
 import org.baygw.control.model.MachineType;
 import org.baygw.control.model.TaskId;
-import org.baygw.control.placement.Room;
+import org.baygw.control.placement.MachineCapacity;
 import org.baygw.control.quota.Scheduler;
-import org.baygw.control.store.View;
+import org.baygw.control.store.StateCache;
 
 /**
  * Decides which machines go back: those that are silent or sick, those that stand empty for long,
@@ -24,7 +24,7 @@
 final class SpareMachines {
   private final Clock clock;
   private final Settings settings;
-  private final View view;
+  private final StateCache view;
   private final Membership membership;
   private final Scheduler scheduler;
   private final Returns returns;
@@ -37,7 +37,7 @@
   SpareMachines(
       Clock clock,
       Settings settings,
-      View view,
+      StateCache view,
       Membership membership,
       Scheduler scheduler,
       Returns returns) {
@@ -67,7 +67,7 @@
                     || view.machines.get(name).value().condition() != Machine.Condition.SILENT);
     Map<String, Integer> all = new HashMap<>();
     Map<String, Integer> silent = new HashMap<>();
-    for (View.Entry<Machine> e : view.machines.values()) {
+    for (StateCache.Entry<Machine> e : view.machines.values()) {
       Machine m = e.value();
       all.merge(m.zone(), 1, Integer::sum);
       if (m.condition() == Machine.Condition.SILENT) {
@@ -85,7 +85,7 @@
             cutAt.put(zone, now);
           }
         });
-    for (View.Entry<Machine> e : List.copyOf(view.machines.values())) {
+    for (StateCache.Entry<Machine> e : List.copyOf(view.machines.values())) {
       Machine m = e.value();
       if (returns.leaving(m.name())) {
         continue;
@@ -93,7 +93,7 @@
       // A sick machine fails what it starts, not what already runs: replicas there are not ended.
       if (m.condition() == Machine.Condition.SICK && !hasReplica(m)
           || m.condition() == Machine.Condition.SILENT && !keep(m, now, cut.contains(m.zone()))) {
-        returns.drain(m.name(), m.zone(), View.Drain.GIVEN_UP);
+        returns.drain(m.name(), m.zone(), StateCache.Drain.GIVEN_UP);
         continue;
       }
       if (m.condition() == Machine.Condition.SILENT || m.condition() == Machine.Condition.SICK) {
@@ -111,7 +111,7 @@
         keep *= type.price() / type.spotPrice(); // the same cost buys a longer wait
       }
       if (now - since >= keep && (leaving || !wanted(m))) {
-        returns.drain(m.name(), m.zone(), View.Drain.IDLE);
+        returns.drain(m.name(), m.zone(), StateCache.Drain.IDLE);
       }
     }
   }
@@ -126,7 +126,7 @@
     if (type == null) {
       return false;
     }
-    Room empty = Room.empty(m.name(), type, m.zone(), m.spot());
+    MachineCapacity empty = MachineCapacity.empty(m.name(), type, m.zone(), m.spot());
     return scheduler.unmet().stream()
         .anyMatch(u -> (u.zone() == null || u.zone().equals(m.zone())) && empty.fits(u.spec()));
   }
@@ -145,7 +145,7 @@
     }
     long limit = Constants.SILENT_KEEP_MS;
     for (TaskId t : m.tasks().keySet()) {
-      View.Entry<Job> j = view.jobs.get(t.job());
+      StateCache.Entry<Job> j = view.jobs.get(t.job());
       if (j != null && j.value().state() == Job.State.CANCELLED) {
         limit = (long) (settings.workers().cancelS() * 1000 * Constants.CANCEL_SHARE);
       }
@@ -155,7 +155,7 @@
 
   private boolean hasReplica(Machine m) {
     for (TaskId t : m.tasks().keySet()) {
-      View.Entry<Job> j = view.jobs.get(t.job());
+      StateCache.Entry<Job> j = view.jobs.get(t.job());
       if (j != null && j.value().open() && j.value().spec().service()) {
         return true;
       }
--- a/src/main/java/org/baygw/control/jobs/Jobs.java
+++ b/src/main/java/org/baygw/control/jobs/Jobs.java
@@ -16,9 +16,9 @@
 import org.baygw.control.model.Records;
 import org.baygw.control.model.TaskId;
 import org.baygw.control.store.Keys;
+import org.baygw.control.store.StateCache;
 import org.baygw.control.store.Store;
 import org.baygw.control.store.Txn;
-import org.baygw.control.store.View;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -35,11 +35,12 @@
   private final Outbox out;
   private final Settings settings;
   private final Store store;
-  private final View view;
+  private final StateCache view;
   private final Peers peers;
   private int waiting;
 
-  public Jobs(Clock clock, Outbox out, Settings settings, Store store, View view, Peers peers) {
+  public Jobs(
+      Clock clock, Outbox out, Settings settings, Store store, StateCache view, Peers peers) {
     this.peers = peers;
     this.clock = clock;
     this.out = out;
@@ -191,7 +192,7 @@
   }
 
   private void poll(long request, String id) {
-    View.Entry<Job> known = view.jobs.get(id);
+    StateCache.Entry<Job> known = view.jobs.get(id);
     if (known != null && !known.value().open()) {
       answer(request, id);
       return;
@@ -211,7 +212,7 @@
   }
 
   private void abort(long request, String id, int tries) {
-    View.Entry<Job> known = view.jobs.get(id);
+    StateCache.Entry<Job> known = view.jobs.get(id);
     if (known != null && !known.value().open()) {
       answer(request, id);
       return;
@@ -252,7 +253,7 @@
   }
 
   private void answer(long request, String id) {
-    View.Entry<Job> e = view.jobs.get(id);
+    StateCache.Entry<Job> e = view.jobs.get(id);
     if (e == null) {
       unknown(request);
       return;
@@ -266,9 +267,9 @@
     }
     int done = 0;
     int running = 0;
-    TreeMap<Integer, View.Entry<Progress>> chunks = view.progress.get(id);
+    TreeMap<Integer, StateCache.Entry<Progress>> chunks = view.progress.get(id);
     if (chunks != null) {
-      for (View.Entry<Progress> p : chunks.values()) {
+      for (StateCache.Entry<Progress> p : chunks.values()) {
         done += p.value().done.cardinality();
         for (int i : p.value().live.keySet()) {
           if (view.places.containsKey(new TaskId(id, i))) {
--- a/src/main/java/org/baygw/control/membership/CancellationHorizon.java
+++ b/src/main/java/org/baygw/control/membership/CancellationWatermark.java
@@ -11,12 +11,12 @@
  * Up to when this controller knows of every cancellation that any controller may have told a user
  * of, and whether that is recent enough to renew a worker's lease. A worker whose report is
  * answered now may keep a task for a lease from now; a cancellation that is not known here was
- * confirmed after the horizon. So while a report is answered with 200 only with a horizon at most
- * {@code cancel_s − lease_s − margin} old, every task of a cancelled job is gone in time even if no
- * kill ever reaches it.
+ * confirmed after the watermark. So while a report is answered with 200 only with a watermark at
+ * most {@code cancel_s − lease_s − margin} old, every task of a cancelled job is gone in time even
+ * if no kill ever reaches it.
  */
-public final class CancellationHorizon {
-  private static final Logger LOG = LoggerFactory.getLogger(CancellationHorizon.class);
+public final class CancellationWatermark {
+  private static final Logger LOG = LoggerFactory.getLogger(CancellationWatermark.class);
 
   private final Clock clock;
   private final Settings settings;
@@ -24,13 +24,13 @@
   private final Peers peers;
   private final long maxAgeMs;
 
-  public CancellationHorizon(Clock clock, Settings settings, Store store, Peers peers) {
+  public CancellationWatermark(Clock clock, Settings settings, Store store, Peers peers) {
     this.clock = clock;
     this.settings = settings;
     this.store = store;
     this.peers = peers;
-    this.maxAgeMs = settings.workers().horizonMs();
-    if (maxAgeMs < Constants.HORIZON_TIGHT_MS) {
+    this.maxAgeMs = settings.workers().watermarkMs();
+    if (maxAgeMs < Constants.WATERMARK_TIGHT_MS) {
       LOG.warn(
           "cancel_s leaves {} ms beyond a lease: reports are answered only with knowledge younger than"
               + " that, so tasks may end with their leases",
@@ -80,7 +80,7 @@
   }
 
   private boolean lives(String label) {
-    return peers.vouchedUntil(label) >= longAgo();
+    return peers.acknowledgedUntil(label) >= longAgo();
   }
 
   private long longAgo() {
@@ -89,7 +89,7 @@
 
   private long knownUntil() {
     return store.loaded()
-        ? Math.max(store.currentAsOf(), peers.vouchedUntil())
+        ? Math.max(store.currentAsOf(), peers.acknowledgedUntil())
         : Long.MIN_VALUE / 2;
   }
 }
--- a/src/main/java/org/baygw/control/membership/Membership.java
+++ b/src/main/java/org/baygw/control/membership/Membership.java
@@ -13,16 +13,16 @@
 import org.baygw.control.config.Settings;
 import org.baygw.control.core.Clock;
 import org.baygw.control.core.Json;
-import org.baygw.control.model.Part;
+import org.baygw.control.model.Partition;
 import org.baygw.control.store.Keys;
+import org.baygw.control.store.StateCache;
 import org.baygw.control.store.Store;
 import org.baygw.control.store.Txn;
-import org.baygw.control.store.View;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
 /**
- * Which controllers live, and who holds which part and the desk. A claim's stamp fences every
+ * Which controllers live, and who holds which part and the leader. A claim's stamp fences every
  * durable change made under it; the hold behind it only decides when others may try to take over.
  */
 public final class Membership {
@@ -31,10 +31,10 @@
   private final Clock clock;
   private final Settings settings;
   private final Store store;
-  private final View view;
-  private List<Part> parts = List.of();
+  private final StateCache view;
+  private List<Partition> partitions = List.of();
   private final Map<String, Long> firstSeen = new HashMap<>();
-  private final Map<Set<String>, Map<Part, String>> ownersOf = new HashMap<>();
+  private final Map<Set<String>, Map<Partition, String>> ownersOf = new HashMap<>();
 
   /** Claims that are known to be over though the copy still has them, by their stamps. */
   private final Map<String, Long> overtaken = new HashMap<>();
@@ -52,20 +52,20 @@
   private boolean telling;
   private long ended;
 
-  public Membership(Clock clock, Settings settings, Store store, View view) {
+  public Membership(Clock clock, Settings settings, Store store, StateCache view) {
     this.clock = clock;
     this.settings = settings;
     this.store = store;
     this.view = view;
   }
 
-  /** All parts; none until it is durable how many there are. */
-  public List<Part> parts() {
+  /** All partitions; none until it is durable how many there are. */
+  public List<Partition> partitions() {
     int zones = settings.zones().size();
-    if (parts.size() != view.partsPerZone() * zones) {
-      parts = Part.all(settings.zones(), view.partsPerZone());
+    if (partitions.size() != view.partitionsPerZone() * zones) {
+      partitions = Partition.all(settings.zones(), view.partitionsPerZone());
     }
-    return parts;
+    return partitions;
   }
 
   /**
@@ -73,7 +73,7 @@
    * reached it: before that, the last writes of its former holder could be missing from the view.
    */
   public long owned(String claim) {
-    View.Entry<View.Claim> c = view.claims.get(claim);
+    StateCache.Entry<StateCache.Claim> c = view.claims.get(claim);
     return c != null
             && hold != 0
             && c.value().hold() == hold
@@ -84,26 +84,26 @@
   }
 
   /**
-   * A worker of the part has shown a newer claim's token: whatever this controller's copy says,
-   * which the state service may refuse to renew, its own claim is over.
+   * A worker of the partition has shown a newer claim's token: whatever this controller's copy
+   * says, which the state service may refuse to renew, its own claim is over.
    */
-  public void overtaken(Part p, long stamp) {
+  public void overtaken(Partition p, long stamp) {
     if (overtaken.merge(p.toString(), stamp, Math::max) == stamp) {
       LOG.info("{} has passed to another controller", p);
     }
   }
 
-  public long owned(Part p) {
+  public long owned(Partition p) {
     return owned(p.toString());
   }
 
-  public long desk() {
-    return owned(Keys.DESK);
+  public long leadership() {
+    return owned(Keys.LEADER);
   }
 
-  /** The label of the controller that holds the part, or null. */
-  public String owner(Part p) {
-    View.Entry<View.Claim> c = view.claims.get(p.toString());
+  /** The label of the controller that holds the partition, or null. */
+  public String owner(Partition p) {
+    StateCache.Entry<StateCache.Claim> c = view.claims.get(p.toString());
     boolean over = c == null || c.stamp() <= overtaken.getOrDefault(p.toString(), 0L);
     return over ? null : c.value().owner();
   }
@@ -127,9 +127,9 @@
     if (!busy && now >= nextTouch) {
       touch();
     }
-    store.share(desk() != 0);
+    store.share(leadership() != 0);
     if (!claiming && now >= nextClaim && view.members.containsKey(settings.label())) {
-      if (view.partsPerZone() == 0) {
+      if (view.partitionsPerZone() == 0) {
         layOut();
       } else {
         claims();
@@ -138,8 +138,8 @@
   }
 
   /**
-   * Makes the number of parts durable, once and for all: two controllers that counted differently
-   * would look for a machine's tasks in different records.
+   * Makes the number of partitions durable, once and for all: two controllers that counted
+   * differently would look for a machine's tasks in different records.
    */
   private void layOut() {
     claiming = true;
@@ -147,7 +147,7 @@
         Store.Urgency.HOLD,
         new Txn()
             .when(Keys.LAYOUT, 0)
-            .put(Keys.LAYOUT, Json.object().put("parts_per_zone", initialPartsPerZone())),
+            .put(Keys.LAYOUT, Json.object().put("partitions_per_zone", initialPartsPerZone())),
         Constants.STATE_TIMEOUT_MS,
         outcome -> {
           claiming = false;
@@ -157,7 +157,7 @@
 
   private void join() {
     busy = true;
-    View.Entry<View.Member> before = view.members.get(settings.label());
+    StateCache.Entry<StateCache.Member> before = view.members.get(settings.label());
     if (before != null && before.value().hold() != ended) {
       // The hold of this controller's former process, which has ended: its claims come free at
       // once.
@@ -239,14 +239,14 @@
 
   /** Whether this controller counts as one that reaches the workers of its zone. */
   public boolean reaches() {
-    View.Entry<View.Member> e = view.members.get(settings.label());
+    StateCache.Entry<StateCache.Member> e = view.members.get(settings.label());
     return e == null || e.value().reaches();
   }
 
   /** Whether another controller of this zone counts as one that does. */
   public boolean othersReach() {
-    for (Map.Entry<String, View.Entry<View.Member>> e : view.members.entrySet()) {
-      View.Member m = e.getValue().value();
+    for (Map.Entry<String, StateCache.Entry<StateCache.Member>> e : view.members.entrySet()) {
+      StateCache.Member m = e.getValue().value();
       if (!e.getKey().equals(settings.label()) && m.zone().equals(settings.zone()) && m.reaches()) {
         return true;
       }
@@ -260,7 +260,7 @@
    */
   public void reaches(boolean can) {
     String key = Keys.member(settings.label());
-    View.Entry<View.Member> e = view.members.get(settings.label());
+    StateCache.Entry<StateCache.Member> e = view.members.get(settings.label());
     if (telling || e == null || e.value().hold() != hold || e.value().reaches() == can) {
       return;
     }
@@ -304,11 +304,11 @@
     List<String> wanted = new ArrayList<>();
     Txn take = new Txn();
     Txn give = new Txn();
-    Map<Part, String> now = owners(expected());
-    Map<Part, String> settled = owners(settled());
-    for (Part p : parts()) {
+    Map<Partition, String> now = owners(expected());
+    Map<Partition, String> settled = owners(settled());
+    for (Partition p : partitions()) {
       String best = now.get(p);
-      View.Entry<View.Claim> c = view.claims.get(p.toString());
+      StateCache.Entry<StateCache.Claim> c = view.claims.get(p.toString());
       if (c == null) {
         if (settings.label().equals(best)) {
           wanted.add(p.toString());
@@ -317,9 +317,9 @@
         give.when(Keys.claim(p.toString()), c.stamp()).delete(Keys.claim(p.toString()));
       }
     }
-    if (!view.claims.containsKey(Keys.DESK)
-        && settings.label().equals(best(Keys.DESK, "", view.members.keySet()))) {
-      wanted.add(0, Keys.DESK);
+    if (!view.claims.containsKey(Keys.LEADER)
+        && settings.label().equals(best(Keys.LEADER, "", view.members.keySet()))) {
+      wanted.add(0, Keys.LEADER);
     }
     int most = Math.max(1, settings.state().txnOps() / 2);
     for (String w : wanted.subList(0, Math.min(most, wanted.size()))) {
@@ -346,8 +346,8 @@
   }
 
   /**
-   * Who counts when parts are taken. When all controllers come back together the first must not
-   * take everything, only to be overrun by all workers and to hand most of it on: for a moment
+   * Who counts when partitions are taken. When all controllers come back together the first must
+   * not take everything, only to be overrun by all workers and to hand most of it on: for a moment
    * those that are still to come count as well.
    */
   private Set<String> expected() {
@@ -371,8 +371,8 @@
     return some && !settings.zone().equals(zone);
   }
 
-  /** The controller that is to have a part which nobody holds at the moment, or null. */
-  public String heir(Part p) {
+  /** The controller that is to have a partition which nobody holds at the moment, or null. */
+  public String heir(Partition p) {
     return owners(able(view.members.keySet())).get(p);
   }
 
@@ -384,8 +384,8 @@
     Set<String> all = new HashSet<>();
     settings.peers().forEach(p -> all.add(p.label()));
     all.add(settings.label());
-    int perZone = view.partsPerZone() > 0 ? view.partsPerZone() : initialPartsPerZone();
-    String best = share(all, perZone).get(Part.of(machine, zone, perZone));
+    int perZone = view.partitionsPerZone() > 0 ? view.partitionsPerZone() : initialPartsPerZone();
+    String best = share(all, perZone).get(Partition.of(machine, zone, perZone));
     return settings.label().equals(best) ? null : best;
   }
 
@@ -395,7 +395,7 @@
   }
 
   private String zoneOf(String label) {
-    View.Entry<View.Member> e = view.members.get(label);
+    StateCache.Entry<StateCache.Member> e = view.members.get(label);
     if (e != null) {
       return e.value().zone();
     }
@@ -430,20 +430,20 @@
 
   /**
    * Who is to hold which part: by rendezvous hashing, each controller at most its even share of a
-   * zone's parts. The same answer at every controller that sees the same members.
+   * zone's partitions. The same answer at every controller that sees the same members.
    */
-  private Map<Part, String> owners(Set<String> among) {
+  private Map<Partition, String> owners(Set<String> among) {
     if (ownersOf.size() > Constants.OWNERS_KEPT) {
       ownersOf.clear();
     }
     Set<String> key = new HashSet<>();
     among.forEach(m -> key.add(m + "|" + zoneOf(m)));
-    key.add(String.valueOf(view.partsPerZone()));
-    return ownersOf.computeIfAbsent(key, k -> share(among, view.partsPerZone()));
+    key.add(String.valueOf(view.partitionsPerZone()));
+    return ownersOf.computeIfAbsent(key, k -> share(among, view.partitionsPerZone()));
   }
 
-  private Map<Part, String> share(Set<String> among, int perZone) {
-    Map<Part, String> out = new HashMap<>();
+  private Map<Partition, String> share(Set<String> among, int perZone) {
+    Map<Partition, String> out = new HashMap<>();
     Map<String, Integer> has = new HashMap<>();
     for (String zone : settings.zones()) {
       Set<String> near = new HashSet<>(among);
@@ -452,7 +452,7 @@
       int most = (perZone + able.size() - 1) / Math.max(1, able.size());
       has.clear();
       for (int i = 0; i < perZone; i++) {
-        Part p = new Part(zone, i);
+        Partition p = new Partition(zone, i);
         Set<String> free = new HashSet<>(able);
         free.removeIf(m -> has.getOrDefault(m, 0) >= most);
         String best = best(p.toString(), zone, free);
--- a/src/main/java/org/baygw/control/membership/Peers.java
+++ b/src/main/java/org/baygw/control/membership/Peers.java
@@ -19,14 +19,14 @@
 import org.baygw.control.core.Outbox;
 import org.baygw.control.membership.wire.Cancellation;
 import org.baygw.control.membership.wire.PeerStatus;
+import org.baygw.control.store.StateCache;
 import org.baygw.control.store.Store;
-import org.baygw.control.store.View;
 
 /**
  * What controllers tell each other, in Avro. Hints only for whatever is durable: they say when to
  * look at the state service again, and whether it is only this controller that it refuses.
  * Cancellations go with them, since a durable one is final and may be acted on at once; and an
- * answer vouches that the sibling knew of no other at the time at which it was asked.
+ * answer acknowledges that the sibling knew of no other at the time at which it was asked.
  */
 public final class Peers {
   public static final String PATH = "/peer/status";
@@ -38,25 +38,28 @@
   private final Outbox out;
   private final Settings settings;
   private final Store store;
-  private final View view;
+  private final StateCache view;
   private final Map<String, Seen> seen = new HashMap<>();
 
-  /** For each sibling, the sending time of the latest request that it answered with a voucher. */
-  private final Map<String, Long> vouched = new HashMap<>();
+  /**
+   * For each sibling, the sending time of the latest request that it answered with a
+   * acknowledgement.
+   */
+  private final Map<String, Long> acknowledged = new HashMap<>();
 
   private final long periodMs;
   private long nextSend;
   private long lastSend = Long.MIN_VALUE / 2;
   private boolean urgent;
 
-  public Peers(Clock clock, Outbox out, Settings settings, Store store, View view) {
+  public Peers(Clock clock, Outbox out, Settings settings, Store store, StateCache view) {
     this.clock = clock;
     this.out = out;
     this.settings = settings;
     this.store = store;
     this.view = view;
-    // Where a lease leaves little time, the horizon of cancellations must be drawn more often.
-    this.periodMs = settings.workers().horizonPeriodMs(Constants.PEER_MS);
+    // Where a lease leaves little time, the watermark of cancellations must be drawn more often.
+    this.periodMs = settings.workers().watermarkPeriodMs(Constants.PEER_MS);
   }
 
   public void tick() {
@@ -78,10 +81,10 @@
           periodMs,
           (status, body) -> {
             PeerStatus s = status == 200 ? learn(body) : null;
-            if (s != null && s.getVouches() && s.getLabel().equals(p.label())) {
+            if (s != null && s.getCancellationsComplete() && s.getLabel().equals(p.label())) {
               // What it had told users of when it answered, it lists; so it holds for the sending
               // time.
-              vouched.merge(p.label(), now, Math::max);
+              acknowledged.merge(p.label(), now, Math::max);
             }
           });
     }
@@ -94,20 +97,20 @@
 
   /**
    * Every cancellation that a sibling may have told a user of before this time is known here: each
-   * of them has vouched for it. A sibling that is gone, or has not read all keys since it started,
-   * vouches for nothing.
+   * of them has acknowledged for it. A sibling that is gone, or has not read all keys since it
+   * started, acknowledges for nothing.
    */
-  long vouchedUntil() {
+  long acknowledgedUntil() {
     long until = clock.now();
     for (Settings.Peer p : settings.peers()) {
-      until = Math.min(until, vouchedUntil(p.label()));
+      until = Math.min(until, acknowledgedUntil(p.label()));
     }
     return until;
   }
 
   /** The same for one sibling. */
-  long vouchedUntil(String sibling) {
-    return vouched.getOrDefault(sibling, Long.MIN_VALUE / 2);
+  long acknowledgedUntil(String sibling) {
+    return acknowledged.getOrDefault(sibling, Long.MIN_VALUE / 2);
   }
 
   /** Another controller's message; answered with our own. */
--- a/src/main/java/org/baygw/control/model/Machine.java
+++ b/src/main/java/org/baygw/control/model/Machine.java
@@ -8,7 +8,7 @@
 
 /**
  * A machine: what it is (its own record), every task that may be on it, with its attempt, and its
- * condition (its part's record), and the images it probably has (known by watching).
+ * condition (its partition's record), and the images it probably has (known by watching).
  */
 public record Machine(
     String name,
@@ -19,7 +19,7 @@
     Condition condition,
     Map<TaskId, Integer> tasks,
     List<String> images,
-    Part part) {
+    Partition part) {
 
   /** Whether it is fit for new tasks. */
   public enum Condition {
--- a/src/main/java/org/baygw/control/model/Part.java
+++ b/src/main/java/org/baygw/control/model/Partition.java
@@ -6,32 +6,32 @@
 import java.util.List;
 
 /** A fixed share of a zone's machines. */
-public record Part(String zone, int index) implements Comparable<Part> {
+public record Partition(String zone, int index) implements Comparable<Partition> {
   /** The part of a machine where each zone has so many; that number is durable (see Membership). */
-  public static Part of(String machine, String zone, int perZone) {
+  public static Partition of(String machine, String zone, int perZone) {
     int h = Hashing.murmur3_32_fixed().hashString(machine, StandardCharsets.UTF_8).asInt();
-    return new Part(zone, Math.floorMod(h, perZone));
+    return new Partition(zone, Math.floorMod(h, perZone));
   }
 
-  public static List<Part> all(List<String> zones, int perZone) {
-    List<Part> out = new ArrayList<>();
+  public static List<Partition> all(List<String> zones, int perZone) {
+    List<Partition> out = new ArrayList<>();
     for (String z : zones) {
       for (int i = 0; i < perZone; i++) {
-        out.add(new Part(z, i));
+        out.add(new Partition(z, i));
       }
     }
     return out;
   }
 
-  public static Part parse(String text) {
+  public static Partition parse(String text) {
     int dot = text.lastIndexOf('.');
-    return new Part(text.substring(0, dot), Integer.parseInt(text.substring(dot + 1)));
+    return new Partition(text.substring(0, dot), Integer.parseInt(text.substring(dot + 1)));
   }
 
   // Written out for the same reason as in TaskId.
   @Override
   public boolean equals(Object o) {
-    return o instanceof Part p && index == p.index && zone.equals(p.zone);
+    return o instanceof Partition p && index == p.index && zone.equals(p.zone);
   }
 
   @Override
@@ -40,7 +40,7 @@
   }
 
   @Override
-  public int compareTo(Part o) {
+  public int compareTo(Partition o) {
     int c = zone.compareTo(o.zone);
     return c != 0 ? c : Integer.compare(index, o.index);
   }
--- a/src/main/java/org/baygw/control/model/Roster.java
+++ b/src/main/java/org/baygw/control/model/PartitionRecord.java
@@ -9,25 +9,26 @@
 import org.baygw.control.Constants;
 
 /**
- * A page of a part's record: the tasks that may be on each of its machines, the machines that are
- * not fit for more, and the tasks that have ended there but stand in their job's progress still.
- * Lists of tasks are kept as text, so that a reader looks only into those that changed. How many
- * pages the record has stands on each of them, and is read from the first.
+ * A page of a partition's record: the tasks that may be on each of its machines, the machines that
+ * are not fit for more, and the tasks that have ended there but stand in their job's progress
+ * still. Lists of tasks are kept as text, so that a reader looks only into those that changed. How
+ * many pages the record has stands on each of them, and is read from the first.
  */
-public record Roster(
+public record PartitionRecord(
     int pages,
     Map<String, String> on,
     Map<String, String> conditions,
     Map<String, String> done,
     Map<String, String> back) {
 
-  public static final Roster EMPTY = new Roster(1, Map.of(), Map.of(), Map.of(), Map.of());
+  public static final PartitionRecord EMPTY =
+      new PartitionRecord(1, Map.of(), Map.of(), Map.of(), Map.of());
 
   private static final HashFunction PAGES = Hashing.murmur3_32_fixed(1);
 
   /** An empty page of a record of so many, to be filled. */
-  public static Roster page(int pages) {
-    return new Roster(
+  public static PartitionRecord page(int pages) {
+    return new PartitionRecord(
         pages,
         new LinkedHashMap<>(),
         new LinkedHashMap<>(),
@@ -37,7 +38,7 @@
 
   /**
    * The page that a machine stands on. With twice the pages a machine stays where it is or goes to
-   * the page that came with its own. The hash is not the one that chose the part.
+   * the page that came with its own. The hash is not the one that chose the partition.
    */
   public static int pageOf(String machine, int pages) {
     return pages == 1
@@ -46,8 +47,8 @@
   }
 
   /** A copy to be changed. */
-  public Roster copy() {
-    return new Roster(
+  public PartitionRecord copy() {
+    return new PartitionRecord(
         pages,
         new LinkedHashMap<>(on),
         new LinkedHashMap<>(conditions),
@@ -73,7 +74,7 @@
   private static int size(Map<String, String> m) {
     int n = 0;
     for (Map.Entry<String, String> e : m.entrySet()) {
-      n += e.getKey().length() + e.getValue().length() + Constants.ROSTER_ENTRY_BYTES;
+      n += e.getKey().length() + e.getValue().length() + Constants.RECORD_ENTRY_BYTES;
     }
     return n;
   }
--- a/src/main/java/org/baygw/control/model/Progress.java
+++ b/src/main/java/org/baygw/control/model/Progress.java
@@ -5,12 +5,13 @@
 import java.util.TreeMap;
 
 /**
- * How far the tasks of one chunk of a job are. A live task was granted to a part and counts against
- * its team until it is proved gone. Copied before it is changed: the cached one is what is durable.
+ * How far the tasks of one chunk of a job are. A live task was granted to a partition and counts
+ * against its team until it is proved gone. Copied before it is changed: the cached one is what is
+ * durable.
  */
 public final class Progress {
   /** A granted task; stop means that it is to be ended and go back to the queue. */
-  public record Live(int attempt, Part part, boolean stop) {}
+  public record Live(int attempt, Partition part, boolean stop) {}
 
   public final BitSet done = new BitSet();
   public final Map<Integer, Live> live = new TreeMap<>();
@@ -32,7 +33,7 @@
   }
 
   /** Grants a task and returns its attempt. */
-  public int grant(int index, Part part) {
+  public int grant(int index, Partition part) {
     Integer last = tried.remove(index);
     int attempt = last == null ? 1 : last + 1;
     live.put(index, new Live(attempt, part, false));
--- a/src/main/java/org/baygw/control/model/Records.java
+++ b/src/main/java/org/baygw/control/model/Records.java
@@ -99,7 +99,7 @@
       p.live.put(
           l.path(0).asInt(),
           new Progress.Live(
-              l.path(1).asInt(), Part.parse(l.path(2).asText()), l.path(3).asBoolean()));
+              l.path(1).asInt(), Partition.parse(l.path(2).asText()), l.path(3).asBoolean()));
     }
     for (JsonNode t : n.path("tried")) {
       p.tried.put(t.path(0).asInt(), t.path(1).asInt());
@@ -107,7 +107,7 @@
     return p;
   }
 
-  /** What a machine is; its tasks and condition stand in its part's record. */
+  /** What a machine is; its tasks and condition stand in its partition's record. */
   public static ObjectNode machine(Machine m) {
     return Json.object()
         .put("type", m.type())
@@ -116,7 +116,7 @@
         .put("addr", m.addr());
   }
 
-  public static Machine machine(String name, JsonNode n, int partsPerZone) {
+  public static Machine machine(String name, JsonNode n, int partitionsPerZone) {
     String zone = object(n).path("zone").asText();
     return new Machine(
         name,
@@ -127,10 +127,10 @@
         Machine.Condition.OK,
         Map.of(),
         List.of(),
-        Part.of(name, zone, partsPerZone));
+        Partition.of(name, zone, partitionsPerZone));
   }
 
-  public static ObjectNode roster(Roster r) {
+  public static ObjectNode record(PartitionRecord r) {
     ObjectNode n = Json.object();
     if (r.pages() > 1) {
       n.put("pages", r.pages());
@@ -146,9 +146,9 @@
     m.forEach(n::put);
   }
 
-  public static Roster roster(JsonNode n) {
+  public static PartitionRecord record(JsonNode n) {
     object(n);
-    return new Roster(
+    return new PartitionRecord(
         n.path("pages").asInt(1),
         texts(n.path("on")),
         texts(n.path("conditions")),
--- a/src/main/java/org/baygw/control/model/Params.java
+++ b/src/main/java/org/baygw/control/model/SchedulingParameters.java
@@ -6,7 +6,7 @@
 import org.baygw.control.core.Json;
 
 /** The design's open parameters; operators change them through the administration API. */
-public record Params(
+public record SchedulingParameters(
     double alpha,
     double mu,
     double moveShare,
@@ -14,8 +14,8 @@
     int searchNodes,
     double ageLimitS) {
 
-  public static final Params DEFAULTS =
-      new Params(
+  public static final SchedulingParameters DEFAULTS =
+      new SchedulingParameters(
           Constants.ALPHA,
           Constants.MU,
           Constants.MOVE_SHARE,
@@ -26,8 +26,8 @@
   /**
    * Reads what is given over these; throws IllegalArgumentException naming a field out of range.
    */
-  public Params with(JsonNode n) {
-    return new Params(
+  public SchedulingParameters with(JsonNode n) {
+    return new SchedulingParameters(
         number(n, "alpha", alpha, 1e-3, 1e6),
         number(n, "mu", mu, 1e-3, 1e6),
         number(n, "move_share", moveShare, 0, 1),
--- a/src/main/java/org/baygw/control/net/Shell.java
+++ b/src/main/java/org/baygw/control/net/EventLoop.java
@@ -35,8 +35,8 @@
 import org.slf4j.LoggerFactory;
 
 /** Carries inputs to the core and its effects to the network, on one event loop. */
-public final class Shell {
-  private static final Logger LOG = LoggerFactory.getLogger(Shell.class);
+public final class EventLoop {
+  private static final Logger LOG = LoggerFactory.getLogger(EventLoop.class);
 
   /** Where an answer goes. */
   private record Pending(Channel channel, boolean keepAlive) {}
@@ -48,7 +48,7 @@
   private final Map<Long, Pending> pending = new HashMap<>();
   private long requests;
 
-  public Shell(Settings settings) {
+  public EventLoop(Settings settings) {
     this.settings = settings;
     this.core = new Controller(settings);
   }
--- a/src/main/java/org/baygw/control/net/SelfCheck.java
+++ b/src/main/java/org/baygw/control/net/SelfCheck.java
@@ -46,12 +46,12 @@
         HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 0);
     standIn.createContext("/", check::answer);
     standIn.start();
-    Shell shell = new Shell(settings(ports, standIn.getAddress().getPort()));
-    shell.start();
+    EventLoop eventLoop = new EventLoop(settings(ports, standIn.getAddress().getPort()));
+    eventLoop.start();
     try {
       return check.play();
     } finally {
-      shell.stop();
+      eventLoop.stop();
       standIn.stop(0);
     }
   }
--- a/src/main/java/org/baygw/control/placement/Rooms.java
+++ b/src/main/java/org/baygw/control/placement/CapacityCache.java
@@ -3,24 +3,24 @@
 import java.util.HashMap;
 import java.util.Map;
 import org.baygw.control.model.Machine;
-import org.baygw.control.store.View;
+import org.baygw.control.store.StateCache;
 
 /** The free room of machines, worked out anew only for those that changed. */
-public final class Rooms {
-  private record Known(Machine machine, Room room) {}
+public final class CapacityCache {
+  private record Known(Machine machine, MachineCapacity room) {}
 
-  private final View view;
+  private final StateCache view;
   private final Map<String, Known> known = new HashMap<>();
 
-  public Rooms(View view) {
+  public CapacityCache(StateCache view) {
     this.view = view;
   }
 
   /** A room to be changed in thought; null for a machine of an unknown type. */
-  public Room of(Machine m) {
+  public MachineCapacity of(Machine m) {
     Known k = known.get(m.name());
     if (k == null || k.machine() != m) {
-      Room r = Room.of(view, m);
+      MachineCapacity r = MachineCapacity.of(view, m);
       if (r == null) {
         return null;
       }
--- a/src/main/java/org/baygw/control/placement/Room.java
+++ b/src/main/java/org/baygw/control/placement/MachineCapacity.java
@@ -9,12 +9,12 @@
 import org.baygw.control.model.JobSpec;
 import org.baygw.control.model.Machine;
 import org.baygw.control.model.MachineType;
-import org.baygw.control.model.Part;
+import org.baygw.control.model.Partition;
 import org.baygw.control.model.TaskId;
-import org.baygw.control.store.View;
+import org.baygw.control.store.StateCache;
 
 /** Free room of one machine, changed as tasks are put on it in thought. */
-public final class Room {
+public final class MachineCapacity {
   private final Machine machine;
   private double cpus;
   private double gpus;
@@ -23,11 +23,11 @@
   private Set<String> jobs = new HashSet<>();
   private boolean shared;
 
-  private Room(Machine machine, MachineType type) {
+  private MachineCapacity(Machine machine, MachineType type) {
     this(machine, type.cpus(), type.gpus(), type.memoryGb());
   }
 
-  private Room(Machine machine, double cpus, double gpus, double memoryGb) {
+  private MachineCapacity(Machine machine, double cpus, double gpus, double memoryGb) {
     this.machine = machine;
     this.cpus = cpus;
     this.gpus = gpus;
@@ -35,14 +35,14 @@
   }
 
   /** Returns null for a machine of an unknown type. */
-  public static Room of(View view, Machine m) {
+  public static MachineCapacity of(StateCache view, Machine m) {
     MachineType type = view.type(m.type());
     if (type == null) {
       return null;
     }
-    Room r = new Room(m, type);
+    MachineCapacity r = new MachineCapacity(m, type);
     for (Map.Entry<TaskId, Integer> t : m.tasks().entrySet()) {
-      View.Entry<Job> j = view.jobs.get(t.getKey().job());
+      StateCache.Entry<Job> j = view.jobs.get(t.getKey().job());
       if (j != null) {
         r.take(j.value().spec());
       }
@@ -51,8 +51,8 @@
   }
 
   /** An empty machine that is on its way or could be rented. */
-  public static Room empty(String name, MachineType type, String zone, boolean spot) {
-    return new Room(
+  public static MachineCapacity empty(String name, MachineType type, String zone, boolean spot) {
+    return new MachineCapacity(
         new Machine(
             name,
             type.name(),
@@ -62,13 +62,13 @@
             Machine.Condition.OK,
             Map.of(),
             List.of(),
-            new Part(zone, 0)),
+            new Partition(zone, 0)),
         type);
   }
 
   /** The same room, to be changed apart from this one. */
-  Room copy() {
-    Room r = new Room(machine, cpus, gpus, memoryGb);
+  MachineCapacity copy() {
+    MachineCapacity r = new MachineCapacity(machine, cpus, gpus, memoryGb);
     r.tasks = tasks;
     r.jobs = jobs;
     r.shared = true;
@@ -152,7 +152,7 @@
    * which stay, and the newest for arrays, which soon leave. Machines are to be compared in order
    * of age.
    */
-  public boolean better(Room than, JobSpec s) {
+  public boolean better(MachineCapacity than, JobSpec s) {
     int a = rank(s);
     int b = than.rank(s);
     if (a != b) {
--- a/src/main/java/org/baygw/control/quota/FreeCapacity.java
+++ b/src/main/java/org/baygw/control/quota/FreeCapacity.java
@@ -12,11 +12,11 @@
 import org.baygw.control.model.Job;
 import org.baygw.control.model.JobSpec;
 import org.baygw.control.model.Machine;
-import org.baygw.control.model.Part;
-import org.baygw.control.model.Roster;
-import org.baygw.control.placement.Room;
-import org.baygw.control.placement.Rooms;
-import org.baygw.control.store.View;
+import org.baygw.control.model.Partition;
+import org.baygw.control.model.PartitionRecord;
+import org.baygw.control.placement.CapacityCache;
+import org.baygw.control.placement.MachineCapacity;
+import org.baygw.control.store.StateCache;
 
 /**
  * What the partitions have free in one pass, less what was granted to them and is on no machine
@@ -24,26 +24,26 @@
  */
 final class FreeCapacity {
   /** A machine that has room for a task, and its partition. */
-  record Place(Part part, Room room) {}
+  record Place(Partition part, MachineCapacity room) {}
 
   private final Settings settings;
-  private final View view;
+  private final StateCache view;
   private final ZoneRules zones;
-  private final Map<Part, List<Room>> rooms = new TreeMap<>();
+  private final Map<Partition, List<MachineCapacity>> rooms = new TreeMap<>();
 
   FreeCapacity(
       Settings settings,
-      View view,
+      StateCache view,
       Membership membership,
-      Rooms cache,
+      CapacityCache cache,
       JobWrites writes,
       ZoneRules zones) {
     this.settings = settings;
     this.view = view;
     this.zones = zones;
-    for (Part part : membership.parts()) {
+    for (Partition part : membership.partitions()) {
       if (membership.owner(part) != null) {
-        List<Room> list = machines(part, cache);
+        List<MachineCapacity> list = machines(part, cache);
         takeUnplaced(part, list, writes);
         if (!list.isEmpty()) {
           rooms.put(part, list);
@@ -52,17 +52,17 @@
     }
   }
 
-  private List<Room> machines(Part part, Rooms cache) {
+  private List<MachineCapacity> machines(Partition part, CapacityCache cache) {
     int pages = view.pages(part);
     Set<Integer> fullPages = fullPages(part, pages);
-    List<Room> list = new ArrayList<>();
+    List<MachineCapacity> list = new ArrayList<>();
     for (String name : view.machinesOf(part)) {
       Machine machine = view.machines.get(name).value();
       boolean usable =
           machine.condition() == Machine.Condition.OK
               && !view.drains.containsKey(name)
-              && (fullPages.isEmpty() || !fullPages.contains(Roster.pageOf(name, pages)));
-      Room room = usable ? cache.of(machine) : null;
+              && (fullPages.isEmpty() || !fullPages.contains(PartitionRecord.pageOf(name, pages)));
+      MachineCapacity room = usable ? cache.of(machine) : null;
       if (room != null) {
         list.add(room);
       }
@@ -71,11 +71,11 @@
   }
 
   /** The pages of a partition's record that can take no more tasks. */
-  private Set<Integer> fullPages(Part part, int pages) {
-    int limitBytes = (int) (settings.state().valueKb() * 1024 * Constants.ROSTER_FULL);
+  private Set<Integer> fullPages(Partition part, int pages) {
+    int limitBytes = (int) (settings.state().valueKb() * 1024 * Constants.RECORD_FULL);
     Set<Integer> full = new HashSet<>();
     for (int i = 0; i < pages; i++) {
-      if (view.roster(part, i).size() > limitBytes) {
+      if (view.record(part, i).size() > limitBytes) {
         full.add(i);
       }
     }
@@ -83,15 +83,15 @@
   }
 
   /** Takes like tasks together, or every one of them would look through all machines. */
-  private void takeUnplaced(Part part, List<Room> list, JobWrites writes) {
+  private void takeUnplaced(Partition part, List<MachineCapacity> list, JobWrites writes) {
     Map<String, Integer> unplaced = new TreeMap<>();
     view.unplaced(part).forEach(task -> unplaced.merge(task.job(), 1, Integer::sum));
     writes.addGrantsTo(part, unplaced);
     unplaced.forEach(
         (id, count) -> {
-          View.Entry<Job> job = view.jobs.get(id);
+          StateCache.Entry<Job> job = view.jobs.get(id);
           int left = job == null ? 0 : count;
-          for (Room room : list) {
+          for (MachineCapacity room : list) {
             if (left == 0) {
               break;
             }
@@ -103,13 +103,13 @@
   /**
    * The partition with the most free room among those that have a machine for the task, or null.
    */
-  Place roomiest(JobSpec spec, int[] zoneLive, Set<Part> avoided) {
+  Place roomiest(JobSpec spec, int[] zoneLive, Set<Partition> avoided) {
     String only = zones.only(spec, zoneLive);
     Place best = null;
     double mostFree = -1;
     int bestRank = -1;
-    for (Map.Entry<Part, List<Room>> entry : rooms.entrySet()) {
-      Part part = entry.getKey();
+    for (Map.Entry<Partition, List<MachineCapacity>> entry : rooms.entrySet()) {
+      Partition part = entry.getKey();
       int zone = zones.index(part.zone());
       if (zone < 0
           || only != null && !only.equals(part.zone())
@@ -117,8 +117,8 @@
         continue;
       }
       double free = 0;
-      Room fit = null;
-      for (Room room : entry.getValue()) {
+      MachineCapacity fit = null;
+      for (MachineCapacity room : entry.getValue()) {
         if (room.fits(spec)) {
           free += room.tasks() > 0 ? room.freeCpus() : 0;
           fit = fit == null || room.better(fit, spec) ? room : fit;
--- a/src/main/java/org/baygw/control/quota/JobWrites.java
+++ b/src/main/java/org/baygw/control/quota/JobWrites.java
@@ -4,7 +4,7 @@
 import java.util.Map;
 import java.util.function.Consumer;
 import org.baygw.control.Constants;
-import org.baygw.control.model.Part;
+import org.baygw.control.model.Partition;
 import org.baygw.control.store.Store;
 import org.baygw.control.store.Txn;
 
@@ -21,7 +21,7 @@
   private final Map<String, Integer> grants = new HashMap<>();
 
   /** The partitions to which it grants them. */
-  private final Map<String, Map<Part, Integer>> partitions = new HashMap<>();
+  private final Map<String, Map<Partition, Integer>> partitions = new HashMap<>();
 
   /**
    * @param settled called whenever a write has ended
@@ -45,13 +45,13 @@
   }
 
   /** Adds the tasks that are being granted to a partition to a count of tasks by job. */
-  void addGrantsTo(Part partition, Map<String, Integer> tasksByJob) {
+  void addGrantsTo(Partition partition, Map<String, Integer> tasksByJob) {
     partitions.forEach(
         (job, counts) -> tasksByJob.merge(job, counts.getOrDefault(partition, 0), Integer::sum));
   }
 
   /** A write that grants tasks. */
-  void grant(String job, Map<Part, Integer> tasks, Txn txn) {
+  void grant(String job, Map<Partition, Integer> tasks, Txn txn) {
     partitions.put(job, tasks);
     int count = tasks.values().stream().mapToInt(n -> n).sum();
     write(job, count, Store.Urgency.GRANT, txn, ok -> {});
--- a/src/main/java/org/baygw/control/quota/Preemption.java
+++ b/src/main/java/org/baygw/control/quota/Preemption.java
@@ -20,12 +20,12 @@
 import org.baygw.control.model.Progress;
 import org.baygw.control.model.Records;
 import org.baygw.control.model.TaskId;
-import org.baygw.control.placement.Room;
-import org.baygw.control.placement.Rooms;
+import org.baygw.control.placement.CapacityCache;
+import org.baygw.control.placement.MachineCapacity;
 import org.baygw.control.store.Keys;
+import org.baygw.control.store.StateCache;
 import org.baygw.control.store.Store;
 import org.baygw.control.store.Txn;
-import org.baygw.control.store.View;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -45,9 +45,9 @@
   private record Stops(List<Victim> victims, double cost) {}
 
   private final Settings settings;
-  private final View view;
+  private final StateCache view;
   private final Membership membership;
-  private final Rooms rooms;
+  private final CapacityCache rooms;
   private final JobWrites writes;
 
   /** The teams to which nothing is guaranteed. */
@@ -66,9 +66,9 @@
 
   Preemption(
       Settings settings,
-      View view,
+      StateCache view,
       Membership membership,
-      Rooms rooms,
+      CapacityCache rooms,
       JobWrites writes,
       ToDoubleFunction<TaskId> grantAgeS) {
     this.settings = settings;
@@ -121,13 +121,13 @@
   private final class Pass {
     private final TeamUsage usage;
     private final Set<String> guaranteed;
-    private final Map<Room, List<Victim>> victims = new HashMap<>();
+    private final Map<MachineCapacity, List<Victim>> victims = new HashMap<>();
     private final Map<String, List<Victim>> byJob = new LinkedHashMap<>();
 
     /** Live tasks of the jobs whose tasks were looked at, less those that are chosen. */
     private final Map<String, Integer> live = new HashMap<>();
 
-    private List<Room> machines;
+    private List<MachineCapacity> machines;
     private int stopped;
 
     Pass(TeamUsage usage, Set<String> guaranteed) {
@@ -141,7 +141,7 @@
         machines = machines();
       }
       int left = demand.count();
-      Map<Room, Stops> options = options(demand);
+      Map<MachineCapacity, Stops> options = options(demand);
       while (left > 0 && stopped < Constants.PREEMPT_PER_PASS && stopCheapest(demand, options)) {
         left--;
       }
@@ -152,12 +152,12 @@
      * Where one of the tasks could come, by stopping what: on machines that have its image, and
      * where too few do on others. The cheapest of some is nearly as good as the cheapest of all.
      */
-    private Map<Room, Stops> options(UnmetDemand demand) {
-      Map<Room, Stops> found = new LinkedHashMap<>();
+    private Map<MachineCapacity, Stops> options(UnmetDemand demand) {
+      Map<MachineCapacity, Stops> found = new LinkedHashMap<>();
       int looked = 0;
       for (boolean image : new boolean[] {true, false}) {
         for (int i = 0; i < machines.size() && looked < Constants.PREEMPT_LOOKS; i++) {
-          Room room = machines.get((firstLook + i) % machines.size());
+          MachineCapacity room = machines.get((firstLook + i) % machines.size());
           if (room.machine().images().contains(demand.spec().image()) == image
               && (demand.zone() == null || demand.zone().equals(room.machine().zone()))
               && room.suits(demand.spec())) {
@@ -173,8 +173,8 @@
     }
 
     /** Chooses what to stop for one task; false where nothing helps. */
-    private boolean stopCheapest(UnmetDemand demand, Map<Room, Stops> options) {
-      for (Room room = cheapest(options); room != null; room = cheapest(options)) {
+    private boolean stopCheapest(UnmetDemand demand, Map<MachineCapacity, Stops> options) {
+      for (MachineCapacity room = cheapest(options); room != null; room = cheapest(options)) {
         // What the other tasks' stops left of a team's borrowing may have changed it.
         Stops now = needed(demand, room);
         if (now != null && now.victims().equals(options.get(room).victims())) {
@@ -187,7 +187,7 @@
       return false;
     }
 
-    private void choose(UnmetDemand demand, Room room, Stops stops) {
+    private void choose(UnmetDemand demand, MachineCapacity room, Stops stops) {
       for (Victim victim : stops.victims()) {
         room.free(victim.spec());
         victims.get(room).remove(victim);
@@ -200,7 +200,7 @@
     }
 
     /** What to stop so that the task fits on the machine; null if nothing would do. */
-    private Stops needed(UnmetDemand demand, Room room) {
+    private Stops needed(UnmetDemand demand, MachineCapacity room) {
       JobSpec spec = demand.spec();
       if (!room.suits(spec)) {
         return null; // a copy of the service has come there in thought
@@ -286,15 +286,15 @@
   }
 
   private int liveTasks(String job) {
-    Map<Integer, View.Entry<Progress>> chunks = view.progress.get(job);
+    Map<Integer, StateCache.Entry<Progress>> chunks = view.progress.get(job);
     return chunks == null
         ? 0
         : chunks.values().stream().mapToInt(chunk -> chunk.value().live.size()).sum();
   }
 
-  private static Room cheapest(Map<Room, Stops> options) {
-    Room best = null;
-    for (Map.Entry<Room, Stops> entry : options.entrySet()) {
+  private static MachineCapacity cheapest(Map<MachineCapacity, Stops> options) {
+    MachineCapacity best = null;
+    for (Map.Entry<MachineCapacity, Stops> entry : options.entrySet()) {
       if (best == null || entry.getValue().cost() < options.get(best).cost()) {
         best = entry.getKey();
       }
@@ -302,7 +302,7 @@
     return best;
   }
 
-  private static void put(Map<Room, Stops> options, Room room, Stops stops) {
+  private static void put(Map<MachineCapacity, Stops> options, MachineCapacity room, Stops stops) {
     if (stops == null) {
       options.remove(room);
     } else {
@@ -311,15 +311,15 @@
   }
 
   /** The machines on which something could be stopped. */
-  private List<Room> machines() {
-    List<Room> found = new ArrayList<>();
-    for (View.Entry<Machine> entry : view.machines.values()) {
+  private List<MachineCapacity> machines() {
+    List<MachineCapacity> found = new ArrayList<>();
+    for (StateCache.Entry<Machine> entry : view.machines.values()) {
       Machine machine = entry.value();
       boolean usable =
           machine.condition() == Machine.Condition.OK
               && !view.drains.containsKey(machine.name())
               && membership.owner(machine.part()) != null;
-      Room room = usable ? rooms.of(machine) : null;
+      MachineCapacity room = usable ? rooms.of(machine) : null;
       if (room != null) {
         found.add(room);
       }
@@ -330,10 +330,10 @@
   /**
    * What could be stopped on a machine, cheapest first; what stops already is taken off its room.
    */
-  private List<Victim> victims(Room room) {
+  private List<Victim> victims(MachineCapacity room) {
     List<Victim> found = new ArrayList<>();
     for (TaskId task : room.machine().tasks().keySet()) {
-      View.Entry<Job> job = view.jobs.get(task.job());
+      StateCache.Entry<Job> job = view.jobs.get(task.job());
       Progress.Live live = view.grant(task);
       if (job == null || live == null) {
         continue;
@@ -360,7 +360,7 @@
   }
 
   private void stop(String job, List<Victim> victims) {
-    Txn txn = new Txn().when(Keys.claim(Keys.DESK), membership.desk());
+    Txn txn = new Txn().when(Keys.claim(Keys.LEADER), membership.leadership());
     Map<Integer, Progress> next = new LinkedHashMap<>();
     for (Victim victim : victims) {
       int index = victim.task().index();
--- a/src/main/java/org/baygw/control/quota/ProgressFolding.java
+++ b/src/main/java/org/baygw/control/quota/ProgressFolding.java
@@ -6,14 +6,14 @@
 import org.baygw.control.Constants;
 import org.baygw.control.config.Settings;
 import org.baygw.control.membership.Membership;
-import org.baygw.control.model.Part;
+import org.baygw.control.model.Partition;
+import org.baygw.control.model.PartitionRecord;
 import org.baygw.control.model.Progress;
 import org.baygw.control.model.Records;
-import org.baygw.control.model.Roster;
 import org.baygw.control.store.Keys;
+import org.baygw.control.store.StateCache;
 import org.baygw.control.store.Store;
 import org.baygw.control.store.Txn;
-import org.baygw.control.store.View;
 
 /**
  * Takes ended tasks over into their jobs' progress where a partition's record grows large.
@@ -21,22 +21,22 @@
  */
 final class ProgressFolding {
   private final Settings settings;
-  private final View view;
+  private final StateCache view;
   private final Membership membership;
   private final JobWrites writes;
   private final int limitBytes;
 
-  ProgressFolding(Settings settings, View view, Membership membership, JobWrites writes) {
+  ProgressFolding(Settings settings, StateCache view, Membership membership, JobWrites writes) {
     this.settings = settings;
     this.view = view;
     this.membership = membership;
     this.writes = writes;
-    this.limitBytes = (int) (settings.state().valueKb() * 1024 * Constants.ROSTER_ENDED);
+    this.limitBytes = (int) (settings.state().valueKb() * 1024 * Constants.RECORD_ENDED);
   }
 
   void run() {
     for (String job : jobsInLargeRecords()) {
-      TreeMap<Integer, View.Entry<Progress>> chunks = view.progress.get(job);
+      TreeMap<Integer, StateCache.Entry<Progress>> chunks = view.progress.get(job);
       boolean due =
           view.jobs.containsKey(job)
               && chunks != null
@@ -53,9 +53,9 @@
 
   private Set<String> jobsInLargeRecords() {
     Set<String> jobs = new LinkedHashSet<>();
-    for (Part part : membership.parts()) {
+    for (Partition part : membership.partitions()) {
       for (int i = 0; i < view.pages(part); i++) {
-        Roster page = view.roster(part, i);
+        PartitionRecord page = view.record(part, i);
         if (page.endedSize() > limitBytes) {
           jobs.addAll(page.done().keySet());
           jobs.addAll(page.back().keySet());
@@ -65,8 +65,8 @@
     return jobs;
   }
 
-  private Txn fold(String job, TreeMap<Integer, View.Entry<Progress>> chunks) {
-    Txn txn = new Txn().when(Keys.claim(Keys.DESK), membership.desk());
+  private Txn fold(String job, TreeMap<Integer, StateCache.Entry<Progress>> chunks) {
+    Txn txn = new Txn().when(Keys.claim(Keys.LEADER), membership.leadership());
     chunks.forEach(
         (chunk, entry) -> {
           Progress written = view.written(job, chunk);
--- a/src/main/java/org/baygw/control/quota/Scheduler.java
+++ b/src/main/java/org/baygw/control/quota/Scheduler.java
@@ -15,15 +15,15 @@
 import org.baygw.control.membership.Membership;
 import org.baygw.control.model.Job;
 import org.baygw.control.model.JobSpec;
-import org.baygw.control.model.Part;
+import org.baygw.control.model.Partition;
 import org.baygw.control.model.Progress;
 import org.baygw.control.model.Records;
 import org.baygw.control.model.TaskId;
-import org.baygw.control.placement.Rooms;
+import org.baygw.control.placement.CapacityCache;
 import org.baygw.control.store.Keys;
+import org.baygw.control.store.StateCache;
 import org.baygw.control.store.Store;
 import org.baygw.control.store.Txn;
-import org.baygw.control.store.View;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -37,10 +37,10 @@
   private final Clock clock;
   private final Settings settings;
   private final Store store;
-  private final View view;
+  private final StateCache view;
   private final Membership membership;
   private final ZoneRules zones;
-  private final Rooms rooms;
+  private final CapacityCache rooms;
   private final JobWrites writes;
   private final PartitionAvoidance avoidance;
   private final ProgressFolding folding;
@@ -57,14 +57,15 @@
   private long nextClean;
   private long seenChanges = -1;
 
-  public Scheduler(Clock clock, Settings settings, Store store, View view, Membership membership) {
+  public Scheduler(
+      Clock clock, Settings settings, Store store, StateCache view, Membership membership) {
     this.clock = clock;
     this.settings = settings;
     this.store = store;
     this.view = view;
     this.membership = membership;
     this.zones = new ZoneRules(settings.zones());
-    this.rooms = new Rooms(view);
+    this.rooms = new CapacityCache(view);
     this.writes = new JobWrites(store, this::passSoon);
     this.avoidance = new PartitionAvoidance(clock, view, membership);
     this.folding = new ProgressFolding(settings, view, membership, writes);
@@ -91,16 +92,19 @@
   /** Time has passed, or something has changed. */
   public void tick() {
     long now = clock.now();
-    if (!store.loaded() || membership.desk() == 0) {
+    if (!store.loaded() || membership.leadership() == 0) {
       unmet = List.of();
       return;
     }
-    if (now < nextPass || unmetIsCurrent() && now < nextPass + Constants.DESK_IDLE_PASS_MS) {
+    if (now < nextPass || unmetIsCurrent() && now < nextPass + Constants.SCHEDULER_IDLE_PASS_MS) {
       return;
     }
     // A pass looks at all machines, so what passes cost a second must not grow with them.
-    long large = (long) (view.machines.size() * Constants.DESK_PASS_MS_A_MACHINE);
-    nextPass = now + large + (store.scarce() ? Constants.DESK_SCARCE_MS : Constants.DESK_PASS_MS);
+    long large = (long) (view.machines.size() * Constants.SCHEDULER_PASS_MS_A_MACHINE);
+    nextPass =
+        now
+            + large
+            + (store.scarce() ? Constants.SCHEDULER_SCARCE_MS : Constants.SCHEDULER_PASS_MS);
     seenChanges = view.changes();
     new Pass().run();
   }
@@ -134,9 +138,9 @@
     private FreeCapacity free;
 
     void run() {
-      List<View.Entry<Job>> jobs = new ArrayList<>(view.active.values());
+      List<StateCache.Entry<Job>> jobs = new ArrayList<>(view.active.values());
       jobs.sort(
-          Comparator.comparing((View.Entry<Job> job) -> job.value().acceptedMs())
+          Comparator.comparing((StateCache.Entry<Job> job) -> job.value().acceptedMs())
               .thenComparing(job -> job.value().spec().id()));
       jobs.forEach(this::add);
       folding.run();
@@ -150,15 +154,15 @@
     }
 
     /** Counts what a job has, and queues it if tasks of it wait. */
-    private void add(View.Entry<Job> entry) {
+    private void add(StateCache.Entry<Job> entry) {
       Job job = entry.value();
       JobSpec spec = job.spec();
-      TreeMap<Integer, View.Entry<Progress>> chunks =
+      TreeMap<Integer, StateCache.Entry<Progress>> chunks =
           view.progress.getOrDefault(spec.id(), new TreeMap<>());
       int live = 0;
       int done = 0;
       int[] zoneLive = zones.none();
-      for (View.Entry<Progress> chunk : chunks.values()) {
+      for (StateCache.Entry<Progress> chunk : chunks.values()) {
         live += chunk.value().live.size();
         done += chunk.value().done.cardinality();
         if (spec.spread() || spec.oneZone()) {
@@ -190,7 +194,7 @@
       }
     }
 
-    private QueuedJob queued(View.Entry<Job> entry, int live, int done, int[] zoneLive) {
+    private QueuedJob queued(StateCache.Entry<Job> entry, int live, int done, int[] zoneLive) {
       Job job = entry.value();
       JobSpec spec = job.spec();
       return new QueuedJob(
@@ -252,7 +256,7 @@
 
     private void forgetOld() {
       if (clock.now() >= nextClean) {
-        nextClean = clock.now() + Constants.DESK_CLEAN_MS;
+        nextClean = clock.now() + Constants.SCHEDULER_CLEAN_MS;
         grantedAt.keySet().removeIf(task -> view.grant(task) == null && !writes.busy(task.job()));
       }
       Set<String> ids = new HashSet<>();
@@ -267,7 +271,7 @@
     private final int[] zoneLive;
     private final int allowed;
     private final Map<Integer, Progress> next = new LinkedHashMap<>();
-    private final Map<Part, Integer> partitions = new HashMap<>();
+    private final Map<Partition, Integer> partitions = new HashMap<>();
     private int count;
 
     Grants(QueuedJob job, int[] zoneLive, int allowed) {
@@ -318,7 +322,7 @@
     void write() {
       Txn txn =
           new Txn()
-              .when(Keys.claim(Keys.DESK), membership.desk())
+              .when(Keys.claim(Keys.LEADER), membership.leadership())
               .when(Keys.job(job.id()), job.stamp());
       next.forEach(
           (chunk, progress) -> {
@@ -364,19 +368,19 @@
         + onlyZone;
   }
 
-  private void finish(String id, View.Entry<Job> job) {
+  private void finish(String id, StateCache.Entry<Job> job) {
     writes.write(
         id,
         Store.Urgency.LAUNCH,
         new Txn()
-            .when(Keys.claim(Keys.DESK), membership.desk())
+            .when(Keys.claim(Keys.LEADER), membership.leadership())
             .when(Keys.job(id), job.stamp())
             .put(Keys.job(id), Records.job(job.value().done())));
   }
 
   /** A job that is over and has no task left needs no progress. */
-  private void clean(String id, TreeMap<Integer, View.Entry<Progress>> chunks) {
-    Txn txn = new Txn().when(Keys.claim(Keys.DESK), membership.desk());
+  private void clean(String id, TreeMap<Integer, StateCache.Entry<Progress>> chunks) {
+    Txn txn = new Txn().when(Keys.claim(Keys.LEADER), membership.leadership());
     for (Integer chunk : chunks.keySet()) {
       if (txn.writes() < settings.state().txnOps()) {
         String key = Keys.progress(id, chunk);
--- a/src/main/java/org/baygw/control/store/Keys.java
+++ b/src/main/java/org/baygw/control/store/Keys.java
@@ -1,15 +1,15 @@
 package org.baygw.control.store;
 
-import org.baygw.control.model.Part;
+import org.baygw.control.model.Partition;
 
 /** Names of the keys in the state service. */
 public final class Keys {
   public static final String ROOT = "b/";
   public static final String TYPES = ROOT + "types";
   public static final String PARAMS = ROOT + "params";
-  public static final String DESK = "desk";
+  public static final String LEADER = "leader";
 
-  /** How many parts a zone has; written once. */
+  /** How many partitions a zone has; written once. */
   public static final String LAYOUT = ROOT + "layout";
 
   public static String job(String id) {
@@ -24,8 +24,8 @@
     return ROOT + "machine/" + name;
   }
 
-  /** A page of a part's record: the tasks on its machines. */
-  public static String roster(Part part, int page) {
+  /** A page of a partition's record: the tasks on its machines. */
+  public static String record(Partition part, int page) {
     return ROOT + "run/" + part + (page == 0 ? "" : "/" + page);
   }
 
@@ -41,8 +41,8 @@
     return ROOT + "rent/" + booking;
   }
 
-  /** The machines of a part that are on their way out. */
-  public static String drain(Part part) {
+  /** The machines of a partition that are on their way out. */
+  public static String drain(Partition part) {
     return ROOT + "drain/" + part;
   }
 
--- a/src/main/java/org/baygw/control/store/View.java
+++ b/src/main/java/org/baygw/control/store/StateCache.java
@@ -17,12 +17,12 @@
 import org.baygw.control.model.Job;
 import org.baygw.control.model.Machine;
 import org.baygw.control.model.MachineType;
-import org.baygw.control.model.Params;
-import org.baygw.control.model.Part;
+import org.baygw.control.model.Partition;
+import org.baygw.control.model.PartitionRecord;
 import org.baygw.control.model.Progress;
 import org.baygw.control.model.Records;
 import org.baygw.control.model.Rental;
-import org.baygw.control.model.Roster;
+import org.baygw.control.model.SchedulingParameters;
 import org.baygw.control.model.TaskId;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -32,14 +32,14 @@
  * changes only to a newer stamp, so late and repeated answers do no harm. What a change costs goes
  * with what it changed, not with the size of the record or of the whole.
  */
-public final class View {
+public final class StateCache {
   /** A record with the revision of its last change. */
   public record Entry<T>(T value, long stamp) {}
 
   /** Who holds a claim. */
   public record Claim(String owner, long hold) {}
 
-  /** A live controller; one that does not reach its workers leaves the parts to others. */
+  /** A live controller; one that does not reach its workers leaves the partitions to others. */
   public record Member(String zone, long hold, boolean reaches) {}
 
   /** A machine on its way out. */
@@ -52,10 +52,12 @@
     GONE
   }
 
-  /** Tasks of one job that ended in one part, as a page of that part's record has them. */
+  /**
+   * Tasks of one job that ended in one partition, as a page of that partition's record has them.
+   */
   private record Ended(BitSet done, Map<Integer, Integer> back) {}
 
-  private static final Logger LOG = LoggerFactory.getLogger(View.class);
+  private static final Logger LOG = LoggerFactory.getLogger(StateCache.class);
 
   private final Map<String, Long> stamps = new HashMap<>();
   private final Map<String, Long> tombs = new HashMap<>();
@@ -67,7 +69,7 @@
   /** Jobs that are open or have progress left; the others only need their final state. */
   public final Map<String, Entry<Job>> active = new LinkedHashMap<>();
 
-  /** How far jobs are, with what has ended in the parts' records taken in. */
+  /** How far jobs are, with what has ended in the partitions' records taken in. */
   public final Map<String, TreeMap<Integer, Entry<Progress>>> progress = new HashMap<>();
 
   public final Map<String, Entry<Machine>> machines = new HashMap<>();
@@ -77,31 +79,31 @@
   public final TreeMap<String, Drain> drains = new TreeMap<>();
   public final Set<String> cordons = new HashSet<>();
   public List<MachineType> types = List.of();
-  public Params params = Params.DEFAULTS;
+  public SchedulingParameters params = SchedulingParameters.DEFAULTS;
 
   /** The machines that may have a task. More than one only while something is wrong. */
   public final Map<TaskId, Set<String>> places = new HashMap<>();
 
   /** Parts a zone has; 0 until that is durable. */
-  private int partsPerZone;
+  private int partitionsPerZone;
 
-  /** Progress as it is written, without what stands in the parts' records only. */
+  /** Progress as it is written, without what stands in the partitions' records only. */
   private final Map<String, Progress> written = new HashMap<>();
 
-  private final Map<Part, Set<String>> machinesOf = new HashMap<>();
-  private final Map<Part, TreeMap<Integer, Roster>> rosters = new HashMap<>();
+  private final Map<Partition, Set<String>> machinesOf = new HashMap<>();
+  private final Map<Partition, TreeMap<Integer, PartitionRecord>> records = new HashMap<>();
   private final Map<String, Map<TaskId, Integer>> on = new HashMap<>();
 
-  /** By job and page of a part's record. */
+  /** By job and page of a partition's record. */
   private final Map<String, Map<String, Ended>> ended = new HashMap<>();
 
-  private final Map<Part, Map<String, Drain>> drainsOf = new HashMap<>();
+  private final Map<Partition, Map<String, Drain>> drainsOf = new HashMap<>();
 
-  /** Granted tasks of a part that are on no machine. */
-  private final Map<Part, Set<TaskId>> unplaced = new HashMap<>();
+  /** Granted tasks of a partition that are on no machine. */
+  private final Map<Partition, Set<TaskId>> unplaced = new HashMap<>();
 
-  /** Granted tasks of a part, counted. */
-  private final Map<Part, Integer> granted = new HashMap<>();
+  /** Granted tasks of a partition, counted. */
+  private final Map<Partition, Integer> granted = new HashMap<>();
 
   private Set<String> changedMachines = new LinkedHashSet<>();
 
@@ -126,8 +128,8 @@
     return changes;
   }
 
-  public int partsPerZone() {
-    return partsPerZone;
+  public int partitionsPerZone() {
+    return partitionsPerZone;
   }
 
   public long stamp(String key) {
@@ -149,7 +151,7 @@
     return e == null ? null : e.value();
   }
 
-  /** Progress as its key has it, or null: what is in it is needed in no part's record. */
+  /** Progress as its key has it, or null: what is in it is needed in no partition's record. */
   public Progress written(String job, int chunk) {
     return written.get(Keys.progress(job, chunk));
   }
@@ -196,24 +198,24 @@
     }
   }
 
-  /** How many pages a part's record has. */
-  public int pages(Part p) {
-    return roster(p, 0).pages();
+  /** How many pages a partition's record has. */
+  public int pages(Partition p) {
+    return record(p, 0).pages();
   }
 
-  public Roster roster(Part p, int page) {
-    return rosters.getOrDefault(p, NO_PAGES).getOrDefault(page, Roster.EMPTY);
+  public PartitionRecord record(Partition p, int page) {
+    return records.getOrDefault(p, NO_PAGES).getOrDefault(page, PartitionRecord.EMPTY);
   }
 
-  private String condition(Part p, String machine) {
+  private String condition(Partition p, String machine) {
     return onPages(p, r -> r.conditions().get(machine));
   }
 
   /**
    * What any page has; a machine stands on one only, but for the middle of reading all keys anew.
    */
-  private String onPages(Part p, Function<Roster, String> what) {
-    for (Roster r : rosters.getOrDefault(p, NO_PAGES).values()) {
+  private String onPages(Partition p, Function<PartitionRecord, String> what) {
+    for (PartitionRecord r : records.getOrDefault(p, NO_PAGES).values()) {
       String found = what.apply(r);
       if (found != null) {
         return found;
@@ -222,23 +224,23 @@
     return null;
   }
 
-  private static final TreeMap<Integer, Roster> NO_PAGES = new TreeMap<>();
+  private static final TreeMap<Integer, PartitionRecord> NO_PAGES = new TreeMap<>();
 
-  /** The names of a part's machines. */
-  public Set<String> machinesOf(Part p) {
+  /** The names of a partition's machines. */
+  public Set<String> machinesOf(Partition p) {
     return machinesOf.getOrDefault(p, Set.of());
   }
 
-  /** The tasks a part's record has on a machine. */
+  /** The tasks a partition's record has on a machine. */
   public Map<TaskId, Integer> on(String machine) {
     return on.getOrDefault(machine, Map.of());
   }
 
-  public int granted(Part p) {
+  public int granted(Partition p) {
     return granted.getOrDefault(p, 0);
   }
 
-  public Set<TaskId> unplaced(Part p) {
+  public Set<TaskId> unplaced(Partition p) {
     return unplaced.getOrDefault(p, Set.of());
   }
 
@@ -337,12 +339,12 @@
       }
       case "prog" -> progressChanged(key, id, Integer.parseInt(p[3]), v, stamp);
       case "run" ->
-          rosterChanged(
-              Part.parse(id),
+          recordChanged(
+              Partition.parse(id),
               p.length > 3 ? Integer.parseInt(p[3]) : 0,
-              v == null ? Roster.EMPTY : Records.roster(v));
+              v == null ? PartitionRecord.EMPTY : Records.record(v));
       case "machine" -> {
-        Machine next = v == null ? null : Records.machine(id, v, partsPerZone);
+        Machine next = v == null ? null : Records.machine(id, v, partitionsPerZone);
         Entry<Machine> old = machines.get(id);
         if (next != null) {
           String condition = condition(next.part(), id);
@@ -361,7 +363,7 @@
         }
         changedMachines.add(id);
       }
-      case "layout" -> partsPerZone = v == null ? 0 : v.path("parts_per_zone").asInt();
+      case "layout" -> partitionsPerZone = v == null ? 0 : v.path("partitions_per_zone").asInt();
       case "claim" ->
           set(
               claims,
@@ -386,7 +388,7 @@
           v.fields()
               .forEachRemaining(e -> next.put(e.getKey(), Drain.valueOf(e.getValue().asText())));
         }
-        for (String m : drainsOf.getOrDefault(Part.parse(id), Map.of()).keySet()) {
+        for (String m : drainsOf.getOrDefault(Partition.parse(id), Map.of()).keySet()) {
           if (!next.containsKey(m)) {
             drains.remove(m);
             changedMachines.add(m);
@@ -398,7 +400,7 @@
                 changedMachines.add(m);
               }
             });
-        drainsOf.put(Part.parse(id), next);
+        drainsOf.put(Partition.parse(id), next);
       }
       case "cordon" -> {
         if (v == null) {
@@ -408,13 +410,15 @@
         }
       }
       case "types" -> types = v == null ? List.of() : Records.types(v);
-      case "params" -> params = v == null ? Params.DEFAULTS : Params.DEFAULTS.with(v);
+      case "params" ->
+          params =
+              v == null ? SchedulingParameters.DEFAULTS : SchedulingParameters.DEFAULTS.with(v);
       default -> LOG.debug("unknown key {}", key);
     }
   }
 
-  /** The machines of a part that are on their way out. */
-  public Map<String, Drain> drains(Part p) {
+  /** The machines of a partition that are on their way out. */
+  public Map<String, Drain> drains(Partition p) {
     return drainsOf.getOrDefault(p, Map.of());
   }
 
@@ -460,20 +464,20 @@
     activate(id);
   }
 
-  private void rosterChanged(Part part, int page, Roster next) {
-    Roster old = roster(part, page);
-    rosters.computeIfAbsent(part, k -> new TreeMap<>()).put(page, next);
+  private void recordChanged(Partition part, int page, PartitionRecord next) {
+    PartitionRecord old = record(part, page);
+    records.computeIfAbsent(part, k -> new TreeMap<>()).put(page, next);
     for (String machine : old.on().keySet()) {
       if (!next.on().containsKey(machine)) {
         // Where the record was given more pages the machine may stand on another one now.
-        tasksChanged(machine, Roster.tasks(onPages(part, r -> r.on().get(machine))));
+        tasksChanged(machine, PartitionRecord.tasks(onPages(part, r -> r.on().get(machine))));
       }
     }
     next.on()
         .forEach(
             (machine, text) -> {
               if (!text.equals(old.on().get(machine))) {
-                tasksChanged(machine, Roster.tasks(text));
+                tasksChanged(machine, PartitionRecord.tasks(text));
               }
             });
     Set<String> fit = new HashSet<>(old.conditions().keySet());
@@ -488,14 +492,14 @@
         changedMachines.add(machine);
       }
     }
-    String key = Keys.roster(part, page);
+    String key = Keys.record(part, page);
     Set<String> jobsChanged = new HashSet<>();
     changed(old.done(), next.done(), jobsChanged);
     changed(old.back(), next.back(), jobsChanged);
     for (String job : jobsChanged) {
       BitSet done = new BitSet();
-      Roster.indexes(next.done().get(job)).keySet().forEach(done::set);
-      Map<Integer, Integer> back = Roster.indexes(next.back().get(job));
+      PartitionRecord.indexes(next.done().get(job)).keySet().forEach(done::set);
+      Map<Integer, Integer> back = PartitionRecord.indexes(next.back().get(job));
       if (done.isEmpty() && back.isEmpty()) {
         Map<String, Ended> m = ended.get(job);
         if (m != null && m.remove(key) != null && m.isEmpty()) {
--- a/src/main/java/org/baygw/control/store/Store.java
+++ b/src/main/java/org/baygw/control/store/Store.java
@@ -62,7 +62,7 @@
   private final Clock clock;
   private final Outbox out;
   private final String addr;
-  private final View view;
+  private final StateCache view;
   private final Settings settings;
   private final TokenBucket requests;
   private final TokenBucket writes;
@@ -89,7 +89,7 @@
   /** When the latest request was sent whose answer made the copy current. */
   private long currentAsOf = Long.MIN_VALUE / 2;
 
-  public Store(Clock clock, Outbox out, Settings s, View view) {
+  public Store(Clock clock, Outbox out, Settings s, StateCache view) {
     this.clock = clock;
     this.out = out;
     this.addr = s.stateAddr();
@@ -99,7 +99,7 @@
     this.writes = new TokenBucket(1, 1);
     share(false);
     double all = s.peers().size() + 1;
-    this.watchWaitMs = s.workers().horizonPeriodMs(Constants.WATCH_WAIT_MS);
+    this.watchWaitMs = s.workers().watermarkPeriodMs(Constants.WATCH_WAIT_MS);
     this.watchGapMs =
         Math.max(
             Constants.WATCH_GAP_MS,
@@ -159,14 +159,14 @@
 
   /**
    * What this controller takes of the state service's limits: as much as each of the others, and
-   * some more where it has the desk.
+   * some more where it has the leader.
    */
-  public void share(boolean desk) {
+  public void share(boolean leadership) {
     double share =
         Math.min(
             Constants.STATE_SHARE_MAX,
-            (1.0 + (desk ? Constants.DESK_SHARES : 0))
-                / (settings.peers().size() + 1 + Constants.DESK_SHARES)
+            (1.0 + (leadership ? Constants.LEADER_SHARES : 0))
+                / (settings.peers().size() + 1 + Constants.LEADER_SHARES)
                 * Constants.STATE_OVERBOOK);
     double rps = settings.state().rps() * share;
     double wps = settings.state().writeRps() * share;
--- a/src/main/java/org/baygw/control/workers/CancellationDeadline.java
+++ b/src/main/java/org/baygw/control/workers/CancellationDeadline.java
@@ -12,13 +12,13 @@
 import org.baygw.control.cloud.Cloud;
 import org.baygw.control.config.Settings;
 import org.baygw.control.core.Clock;
-import org.baygw.control.membership.CancellationHorizon;
+import org.baygw.control.membership.CancellationWatermark;
 import org.baygw.control.membership.Membership;
 import org.baygw.control.model.Job;
 import org.baygw.control.model.Machine;
 import org.baygw.control.model.Progress;
 import org.baygw.control.model.TaskId;
-import org.baygw.control.store.View;
+import org.baygw.control.store.StateCache;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -34,14 +34,14 @@
   private static final Logger LOG = LoggerFactory.getLogger(CancellationDeadline.class);
 
   private final Clock clock;
-  private final View view;
+  private final StateCache view;
   private final Membership membership;
-  private final Proofs proofs;
+  private final TerminationEvidence evidence;
   private final Cloud cloud;
-  private final CancellationHorizon horizon;
+  private final CancellationWatermark watermark;
 
   /** This controller's knowledge of a machine's worker; null where it does not own the machine. */
-  private final Function<Machine, Agent> owned;
+  private final Function<Machine, WorkerSession> owned;
 
   private final long cancelMs;
   private final long clockErrorMs;
@@ -58,18 +58,18 @@
   CancellationDeadline(
       Clock clock,
       Settings settings,
-      View view,
+      StateCache view,
       Membership membership,
-      Proofs proofs,
+      TerminationEvidence evidence,
       Cloud cloud,
-      CancellationHorizon horizon,
-      Function<Machine, Agent> owned) {
+      CancellationWatermark watermark,
+      Function<Machine, WorkerSession> owned) {
     this.clock = clock;
     this.view = view;
     this.membership = membership;
-    this.proofs = proofs;
+    this.evidence = evidence;
     this.cloud = cloud;
-    this.horizon = horizon;
+    this.watermark = watermark;
     this.owned = owned;
     this.cancelMs = (long) (settings.workers().cancelS() * 1000);
     // The writer's time of day may be as far off as this controller's, in the other direction.
@@ -84,7 +84,7 @@
     List<String> due = look();
     // Another owner may have proved the tasks gone and put others there: then it is not ours to
     // end.
-    if (!due.isEmpty() && !returning && !horizon.mayBeReplaced()) {
+    if (!due.isEmpty() && !returning && !watermark.mayBeReplaced()) {
       giveBack(due.subList(0, Math.min(due.size(), Constants.MAX_RETURN)));
     }
   }
@@ -94,10 +94,10 @@
    */
   private List<String> look() {
     returned.retainAll(view.machines.keySet());
-    boolean outage = horizon.outageForMost();
+    boolean outage = watermark.outageForMost();
     Set<String> pending = new HashSet<>();
     Set<String> due = new LinkedHashSet<>();
-    for (View.Entry<Job> job : view.active.values()) {
+    for (StateCache.Entry<Job> job : view.active.values()) {
       String id = job.value().spec().id();
       if (view.cancelled(id)) {
         double share = share(id);
@@ -120,8 +120,8 @@
   private List<Machine> holding(TaskId task, Set<String> names) {
     List<Machine> found = new ArrayList<>();
     for (String name : names) {
-      View.Entry<Machine> machine = view.machines.get(name);
-      boolean gone = returned.contains(name) || view.drains.get(name) == View.Drain.GONE;
+      StateCache.Entry<Machine> machine = view.machines.get(name);
+      boolean gone = returned.contains(name) || view.drains.get(name) == StateCache.Drain.GONE;
       if (machine != null && !gone && !provedGone(machine.value(), task)) {
         found.add(machine.value());
       }
@@ -141,7 +141,7 @@
       return share > Constants.CANCELLATION_OWNERLESS_SHARE && ownerless(machine);
     }
     // What the owner has proved would be on record, if it lives; else nobody may be there to do it.
-    return share > Constants.CANCELLATION_LAST_SHARE && horizon.copyIsCurrent();
+    return share > Constants.CANCELLATION_LAST_SHARE && watermark.copyIsCurrent();
   }
 
   /** The share of the time for a cancellation that has passed, at most. */
@@ -152,9 +152,9 @@
   /** The machines that each of a job's tasks may be on, by the record. */
   private Map<TaskId, Set<String>> placements(String job) {
     Map<TaskId, Set<String>> found = new HashMap<>();
-    Map<Integer, View.Entry<Progress>> chunks = view.progress.get(job);
+    Map<Integer, StateCache.Entry<Progress>> chunks = view.progress.get(job);
     if (chunks != null) {
-      for (View.Entry<Progress> chunk : chunks.values()) {
+      for (StateCache.Entry<Progress> chunk : chunks.values()) {
         for (int index : chunk.value().live.keySet()) {
           TaskId task = new TaskId(job, index);
           found.put(task, view.places.getOrDefault(task, Set.of()));
@@ -166,15 +166,16 @@
 
   /** What the owner has proof of but cannot write, in an outage, is not on the machine any more. */
   private boolean provedGone(Machine machine, TaskId task) {
-    Agent agent = owned.apply(machine);
+    WorkerSession session = owned.apply(machine);
     Integer attempt = machine.tasks().get(task);
-    return attempt == null || agent != null && proofs.end(agent, machine, task, attempt) != null;
+    return attempt == null
+        || session != null && evidence.end(session, machine, task, attempt) != null;
   }
 
   /** Whether the machine's partition has no owner that can act; told apart in an outage only. */
   private boolean ownerless(Machine machine) {
     String owner = membership.owner(machine.part());
-    return owner == null || !horizon.acts(owner);
+    return owner == null || !watermark.acts(owner);
   }
 
   private void giveBack(List<String> machines) {
--- a/src/main/java/org/baygw/control/workers/Rounds.java
+++ b/src/main/java/org/baygw/control/workers/ConsolidationRound.java
@@ -10,12 +10,12 @@
 import org.baygw.control.Constants;
 import org.baygw.control.model.Job;
 import org.baygw.control.model.JobSpec;
-import org.baygw.control.model.Params;
-import org.baygw.control.model.Part;
+import org.baygw.control.model.Partition;
+import org.baygw.control.model.SchedulingParameters;
 import org.baygw.control.model.TaskId;
 import org.baygw.control.placement.BranchAndBound;
-import org.baygw.control.placement.Room;
-import org.baygw.control.store.View;
+import org.baygw.control.placement.MachineCapacity;
+import org.baygw.control.store.StateCache;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -23,7 +23,7 @@
  * The design's rounds over the machines of this controller: sets a search up, lets it run a few
  * nodes at a time, and keeps the moves it asked for until they are made or out of date.
  */
-public final class Rounds {
+public final class ConsolidationRound {
   /** Age of a task that this owner launched. */
   interface Age {
     double ageS(String machine, TaskId t);
@@ -41,7 +41,7 @@
 
   private record Move(String from, String to, long until) {}
 
-  private static final Logger LOG = LoggerFactory.getLogger(Rounds.class);
+  private static final Logger LOG = LoggerFactory.getLogger(ConsolidationRound.class);
 
   private final Map<TaskId, Move> moves = new HashMap<>();
   private BranchAndBound search;
@@ -88,10 +88,10 @@
   /** Goes on with the round; returns where pending tasks are to be placed. */
   Map<TaskId, String> tick(
       long now,
-      View view,
-      Params params,
-      Supplier<List<Room>> rooms,
-      Supplier<Map<TaskId, Part>> pending,
+      StateCache view,
+      SchedulingParameters params,
+      Supplier<List<MachineCapacity>> rooms,
+      Supplier<Map<TaskId, Partition>> pending,
       Age age,
       Pinned pinned,
       Cached cached) {
@@ -113,10 +113,10 @@
   }
 
   private void begin(
-      View view,
-      Params params,
-      List<Room> rooms,
-      Map<TaskId, Part> pending,
+      StateCache view,
+      SchedulingParameters params,
+      List<MachineCapacity> rooms,
+      Map<TaskId, Partition> pending,
       Age age,
       Pinned pinned,
       Cached cached) {
@@ -131,7 +131,7 @@
     Map<Integer, List<TaskId>> movable =
         emptiable(view, params, rooms, age, pinned, most * Constants.ROUND_TASKS_PER_MOVE);
     for (int p = 0; p < rooms.size(); p++) {
-      Room r = rooms.get(p);
+      MachineCapacity r = rooms.get(p);
       double[] free = {r.freeCpus(), r.freeGpus(), r.freeMemoryGb()};
       for (TaskId t : movable.getOrDefault(p, List.of())) {
         JobSpec s = view.jobs.get(t.job()).value().spec();
@@ -152,7 +152,7 @@
               var m = rooms.get(q).machine();
               allowed[q] =
                   q == p
-                      || Room.allowed(s, m.type(), m.zone(), m.spot())
+                      || MachineCapacity.allowed(s, m.type(), m.zone(), m.spot())
                           // A replica is down while its image is fetched.
                           && (!s.service() || cached.cached(m.name(), s.image()))
                           && (!s.service() || !rooms.get(q).holds(s.id()))
@@ -165,13 +165,14 @@
         });
     pending.forEach(
         (t, part) -> {
-          View.Entry<Job> j = view.jobs.get(t.job());
+          StateCache.Entry<Job> j = view.jobs.get(t.job());
           if (j != null && j.value().open()) {
             JobSpec s = j.value().spec();
             boolean[] allowed = new boolean[rooms.size()];
             for (int q = 0; q < allowed.length; q++) {
               var m = rooms.get(q).machine();
-              allowed[q] = m.part().equals(part) && Room.allowed(s, m.type(), m.zone(), m.spot());
+              allowed[q] =
+                  m.part().equals(part) && MachineCapacity.allowed(s, m.type(), m.zone(), m.spot());
             }
             double[] load = {s.cpus(), s.gpus(), s.memoryGb()};
             items.add(new BranchAndBound.Item(load, -1, s.service() ? s.id() : null, allowed));
@@ -193,7 +194,12 @@
    * placed first, so the machines that are emptied most cheaply are tried before the others.
    */
   private static Map<Integer, List<TaskId>> emptiable(
-      View view, Params params, List<Room> rooms, Age age, Pinned pinned, int mostTasks) {
+      StateCache view,
+      SchedulingParameters params,
+      List<MachineCapacity> rooms,
+      Age age,
+      Pinned pinned,
+      int mostTasks) {
     Map<Integer, List<TaskId>> found = new HashMap<>();
     for (int p = 0; p < rooms.size(); p++) {
       String name = rooms.get(p).machine().name();
@@ -203,7 +209,7 @@
       }
       boolean all = true;
       for (TaskId t : list) {
-        View.Entry<Job> j = view.jobs.get(t.job());
+        StateCache.Entry<Job> j = view.jobs.get(t.job());
         all &=
             j != null
                 && !j.value().spec().oneZone()
--- a/src/main/java/org/baygw/control/workers/Placing.java
+++ b/src/main/java/org/baygw/control/workers/FirstFitPlacer.java
@@ -14,15 +14,15 @@
 import org.baygw.control.model.Job;
 import org.baygw.control.model.JobSpec;
 import org.baygw.control.model.Machine;
-import org.baygw.control.model.Part;
+import org.baygw.control.model.Partition;
 import org.baygw.control.model.Progress;
 import org.baygw.control.model.TaskId;
-import org.baygw.control.placement.Room;
-import org.baygw.control.placement.Rooms;
-import org.baygw.control.store.View;
+import org.baygw.control.placement.CapacityCache;
+import org.baygw.control.placement.MachineCapacity;
+import org.baygw.control.store.StateCache;
 
-/** First fit for the tasks granted to a part, and what is learnt from tasks that fail. */
-final class Placing {
+/** First fit for the tasks granted to a partition, and what is learnt from tasks that fail. */
+final class FirstFitPlacer {
   /** A job whose tasks fail waits longer and longer. */
   private static final class Backoff {
     int errors;
@@ -30,7 +30,7 @@
     final Map<String, Long> machines = new HashMap<>();
   }
 
-  /** What a part's record can still take. */
+  /** What a partition's record can still take. */
   interface Space {
     /** Whether a task on the machine can go into the next write. */
     boolean open(String machine);
@@ -39,28 +39,33 @@
     boolean take(String machine, int bytes);
   }
 
-  /** What to do with the granted tasks of a part. */
+  /** What to do with the granted tasks of a partition. */
   record Plan(Map<String, Map<TaskId, Integer>> onto, Map<TaskId, Integer> back) {}
 
   private final Clock clock;
   private final Settings settings;
-  private final View view;
-  private final Map<String, Agent> agents;
-  private final Rounds rounds;
-  private final Rooms rooms;
+  private final StateCache view;
+  private final Map<String, WorkerSession> sessions;
+  private final ConsolidationRound rounds;
+  private final CapacityCache rooms;
   private final Map<TaskId, Long> unplacedSince = new HashMap<>();
   private final Map<String, Backoff> backoffs = new HashMap<>();
 
   /** Where a round wants pending tasks. */
   private final Map<TaskId, String> chosen = new HashMap<>();
 
-  Placing(Clock clock, Settings settings, View view, Map<String, Agent> agents, Rounds rounds) {
+  FirstFitPlacer(
+      Clock clock,
+      Settings settings,
+      StateCache view,
+      Map<String, WorkerSession> sessions,
+      ConsolidationRound rounds) {
     this.clock = clock;
     this.settings = settings;
     this.view = view;
-    this.agents = agents;
+    this.sessions = sessions;
     this.rounds = rounds;
-    this.rooms = new Rooms(view);
+    this.rooms = new CapacityCache(view);
   }
 
   void choose(Map<TaskId, String> placed) {
@@ -68,8 +73,11 @@
     chosen.putAll(placed);
   }
 
-  /** Finds machines for a part's granted tasks, up to so many jobs and what its record can take. */
-  Plan plan(Part part, long claim, Set<TaskId> leaving, int mostJobs, Space space) {
+  /**
+   * Finds machines for a partition's granted tasks, up to so many jobs and what its record can
+   * take.
+   */
+  Plan plan(Partition part, long claim, Set<TaskId> leaving, int mostJobs, Space space) {
     long now = clock.now();
     Map<String, Map<TaskId, Integer>> onto = new LinkedHashMap<>();
     Map<TaskId, Integer> back = new LinkedHashMap<>();
@@ -80,14 +88,14 @@
     }
     List<TaskId> todo = new ArrayList<>(unplaced);
     todo.sort(Comparator.comparing((TaskId t) -> priority(t)).thenComparing(t -> t));
-    List<Room> free = rooms(part, claim);
+    List<MachineCapacity> free = rooms(part, claim);
     free.removeIf(r -> !space.open(r.machine().name()));
     Set<String> jobs = new HashSet<>();
-    Room last = null;
+    MachineCapacity last = null;
     String lastJob = null;
     String fullFor = null;
     for (TaskId t : todo) {
-      View.Entry<Job> j = view.jobs.get(t.job());
+      StateCache.Entry<Job> j = view.jobs.get(t.job());
       Progress.Live l = view.grant(t);
       if (leaving.contains(t) || l == null) {
         continue;
@@ -95,7 +103,7 @@
       long since = unplacedSince.computeIfAbsent(t, k -> now);
       boolean over = !view.runs(t.job()) || l.stop();
       JobSpec s = over ? null : j.value().spec();
-      Room r = null;
+      MachineCapacity r = null;
       boolean again = false;
       if (!over && (jobs.contains(t.job()) || jobs.size() < mostJobs) && !t.job().equals(fullFor)) {
         again =
@@ -117,7 +125,7 @@
         jobs.add(t.job());
         Map<TaskId, Integer> there = onto.computeIfAbsent(name, k -> new LinkedHashMap<>());
         there.put(t, l.attempt());
-        int bytes = Constants.ROSTER_TASK_BYTES + (again ? 0 : t.job().length());
+        int bytes = Constants.RECORD_TASK_BYTES + (again ? 0 : t.job().length());
         if (space.take(name, bytes)) {
           free.removeIf(x -> !space.open(x.machine().name()));
         }
@@ -135,20 +143,20 @@
   }
 
   private JobSpec.Priority priority(TaskId t) {
-    View.Entry<Job> j = view.jobs.get(t.job());
+    StateCache.Entry<Job> j = view.jobs.get(t.job());
     return j == null ? JobSpec.Priority.LOW : j.value().spec().priority();
   }
 
-  List<Room> rooms(Part part, long claim) {
-    List<Room> out = new ArrayList<>();
+  List<MachineCapacity> rooms(Partition part, long claim) {
+    List<MachineCapacity> out = new ArrayList<>();
     Map<String, List<TaskId>> coming = rounds.coming();
     for (String name : view.machinesOf(part)) {
-      Agent a = agents.get(name);
-      View.Entry<Machine> e = view.machines.get(name);
+      WorkerSession a = sessions.get(name);
+      StateCache.Entry<Machine> e = view.machines.get(name);
       if (a == null || a.claim != claim || !placeable(a, e.value())) {
         continue;
       }
-      Room r = room(a, e.value());
+      MachineCapacity r = room(a, e.value());
       if (r != null) {
         for (TaskId t : coming.getOrDefault(name, List.of())) {
           r.take(view.jobs.get(t.job()).value().spec());
@@ -159,7 +167,7 @@
     return out;
   }
 
-  boolean placeable(Agent a, Machine m) {
+  boolean placeable(WorkerSession a, Machine m) {
     return a.trusted()
         && !a.leaseOver
         && !a.deaf()
@@ -169,17 +177,17 @@
         && heardLately(a);
   }
 
-  boolean heardLately(Agent a) {
+  boolean heardLately(WorkerSession a) {
     return clock.now() - a.lastHeard
         <= settings.workers().reportS() * 1000 * Constants.HEARD_REPORTS;
   }
 
-  Room room(Agent a, Machine m) {
-    Room r = rooms.of(m);
+  MachineCapacity room(WorkerSession a, Machine m) {
+    MachineCapacity r = rooms.of(m);
     if (r != null) {
       for (Map.Entry<TaskId, WorkerCodec.Seen> s : a.seen.entrySet()) {
         if (s.getValue().state() != WorkerCodec.State.ENDED && !m.tasks().containsKey(s.getKey())) {
-          View.Entry<Job> j = view.jobs.get(s.getKey().job());
+          StateCache.Entry<Job> j = view.jobs.get(s.getKey().job());
           if (j != null) {
             r.take(j.value().spec()); // not in the record, but there until it is killed
           }
@@ -190,10 +198,10 @@
   }
 
   /** The machine that a round wants the task on, if it still fits there. */
-  private Room wanted(List<Room> free, TaskId t, JobSpec s) {
+  private MachineCapacity wanted(List<MachineCapacity> free, TaskId t, JobSpec s) {
     String name = chosen.remove(t);
     if (name != null) {
-      for (Room r : free) {
+      for (MachineCapacity r : free) {
         if (r.machine().name().equals(name) && r.fits(s)) {
           return r;
         }
@@ -203,13 +211,13 @@
   }
 
   /** The best suited machine. */
-  private Room firstFit(List<Room> free, JobSpec s) {
+  private MachineCapacity firstFit(List<MachineCapacity> free, JobSpec s) {
     Backoff b = backoffs.get(s.id());
     if (b != null && clock.now() < b.until) {
       return null;
     }
-    Room best = null;
-    for (Room r : free) {
+    MachineCapacity best = null;
+    for (MachineCapacity r : free) {
       if (!r.fits(s)) {
         continue;
       }
@@ -224,9 +232,9 @@
   }
 
   /** Tells a machine that fails everything from a job that fails everywhere. */
-  void learn(Agent a, TaskId t, Proofs.End end) {
+  void learn(WorkerSession a, TaskId t, TerminationEvidence.End end) {
     WorkerCodec.Seen s = a.seen.get(t);
-    if (end == Proofs.End.DONE) {
+    if (end == TerminationEvidence.End.DONE) {
       a.errors = 0;
       a.failedJobs.clear();
       backoffs.remove(t.job());
--- a/src/main/java/org/baygw/control/workers/Ledger.java
+++ b/src/main/java/org/baygw/control/workers/PartitionWriter.java
@@ -15,54 +15,54 @@
 import org.baygw.control.core.Clock;
 import org.baygw.control.model.Job;
 import org.baygw.control.model.Machine;
-import org.baygw.control.model.Part;
+import org.baygw.control.model.Partition;
+import org.baygw.control.model.PartitionRecord;
 import org.baygw.control.model.Progress;
 import org.baygw.control.model.Records;
-import org.baygw.control.model.Roster;
 import org.baygw.control.model.TaskId;
-import org.baygw.control.placement.Room;
+import org.baygw.control.placement.MachineCapacity;
 import org.baygw.control.store.Keys;
+import org.baygw.control.store.StateCache;
 import org.baygw.control.store.Store;
 import org.baygw.control.store.Txn;
-import org.baygw.control.store.View;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
 /**
- * The only writer of a part's record, under one claim. All that has come up since the last write
- * goes into the next one: tasks proved gone, tasks placed, conditions of machines. A task stands in
- * the record before its launch is sent and until it is proved gone.
+ * The only writer of a partition's record, under one claim. All that has come up since the last
+ * write goes into the next one: tasks proved gone, tasks placed, conditions of machines. A task
+ * stands in the record before its launch is sent and until it is proved gone.
  */
-final class Ledger {
-  /** What the ledger asks of the rest. */
+final class PartitionWriter {
+  /** What the writer asks of the rest. */
   interface Owner {
-    /** The agent of one of the part's machines, or null. */
-    Agent agent(String machine);
+    /** What is known of the worker of one of the partition's machines, or null. */
+    WorkerSession session(String machine);
 
-    /** The ledger of another part of this controller, or null. */
-    Ledger ledger(Part part);
+    /** The writer of another part of this controller, or null. */
+    PartitionWriter writer(Partition part);
 
     /** Tasks were placed, durably. */
     void placed(Set<String> machines);
   }
 
-  private static final Logger LOG = LoggerFactory.getLogger(Ledger.class);
+  private static final Logger LOG = LoggerFactory.getLogger(PartitionWriter.class);
 
-  /** Changes that a move needs beside its own page: progress, and another part's page. */
+  /** Changes that a move needs beside its own page: progress, and another partition's page. */
   private static final int MOVE_WRITES = 2;
 
   /** Conditions of a placing beside pages and jobs: the list of leaving machines. */
   private static final int OTHER_CONDITIONS = 2;
 
-  final Part part;
+  final Partition part;
   final long claim;
   private final Clock clock;
   private final Settings settings;
   private final Store store;
-  private final View view;
-  private final Proofs proofs;
-  private final Placing placing;
-  private final Rounds rounds;
+  private final StateCache view;
+  private final TerminationEvidence evidence;
+  private final FirstFitPlacer placer;
+  private final ConsolidationRound rounds;
   private final Owner owner;
   private final Set<String> dirty = new LinkedHashSet<>();
 
@@ -76,9 +76,9 @@
   private long seenChanges = -1;
 
   /** One write in the making: pages of the record as they are to be, and what goes with them. */
-  private final class Draft implements Placing.Space {
+  private final class Draft implements FirstFitPlacer.Space {
     final Txn txn = new Txn().when(Keys.claim(part.toString()), claim);
-    final List<Roster> next = new ArrayList<>();
+    final List<PartitionRecord> next = new ArrayList<>();
     final List<Integer> sizes = new ArrayList<>();
     final Set<Integer> touched = new LinkedHashSet<>();
     final Map<String, Map<TaskId, Integer>> lists = new LinkedHashMap<>();
@@ -87,11 +87,11 @@
     final Set<String> handled = new HashSet<>();
     final Set<String> placedOn = new LinkedHashSet<>();
     final List<Runnable> after = new ArrayList<>();
-    Ledger target;
+    PartitionWriter target;
 
     Draft() {
       for (int i = 0; i < view.pages(part); i++) {
-        Roster r = view.roster(part, i).copy();
+        PartitionRecord r = view.record(part, i).copy();
         prune(r);
         next.add(r);
         sizes.add(r.size());
@@ -99,7 +99,7 @@
     }
 
     int page(String machine) {
-      return Roster.pageOf(machine, next.size());
+      return PartitionRecord.pageOf(machine, next.size());
     }
 
     /** The page with the fewest bytes, of those that are to be written if there are any. */
@@ -131,8 +131,8 @@
       for (int t : touched) {
         bytes += sizes.get(t);
       }
-      return touched.size() < settings.state().txnOps() * Constants.ROSTER_WRITE_SHARE
-          && bytes < Constants.MAX_BODY * Constants.ROSTER_WRITE_SHARE
+      return touched.size() < settings.state().txnOps() * Constants.RECORD_WRITE_SHARE
+          && bytes < Constants.MAX_BODY * Constants.RECORD_WRITE_SHARE
           && writes() < settings.state().txnOps();
     }
 
@@ -143,7 +143,7 @@
     @Override
     public boolean open(String machine) {
       int page = page(machine);
-      return sizes.get(page) < limit() * Constants.ROSTER_FULL && touchable(page);
+      return sizes.get(page) < limit() * Constants.RECORD_FULL && touchable(page);
     }
 
     @Override
@@ -172,35 +172,35 @@
     Txn seal() {
       lists.forEach(
           (machine, tasks) -> {
-            Roster r = next.get(page(machine));
+            PartitionRecord r = next.get(page(machine));
             if (tasks.isEmpty()) {
               r.on().remove(machine);
             } else {
-              r.on().put(machine, Roster.tasks(tasks));
+              r.on().put(machine, PartitionRecord.tasks(tasks));
             }
           });
       done.forEach((page, m) -> m.forEach((job, l) -> merge(next.get(page).done(), job, l)));
       back.forEach((page, m) -> m.forEach((job, l) -> merge(next.get(page).back(), job, l)));
       // The first page tells how many there are, and so where each machine stands.
-      txn.when(Keys.roster(part, 0), view.stamp(Keys.roster(part, 0)));
+      txn.when(Keys.record(part, 0), view.stamp(Keys.record(part, 0)));
       for (int page : touched) {
-        String key = Keys.roster(part, page);
-        txn.when(key, view.stamp(key)).put(key, Records.roster(next.get(page)));
+        String key = Keys.record(part, page);
+        txn.when(key, view.stamp(key)).put(key, Records.record(next.get(page)));
       }
       return txn;
     }
   }
 
-  Ledger(
-      Part part,
+  PartitionWriter(
+      Partition part,
       long claim,
       Clock clock,
       Settings settings,
       Store store,
-      View view,
-      Proofs proofs,
-      Placing placing,
-      Rounds rounds,
+      StateCache view,
+      TerminationEvidence evidence,
+      FirstFitPlacer placer,
+      ConsolidationRound rounds,
       Owner owner) {
     this.part = part;
     this.claim = claim;
@@ -208,8 +208,8 @@
     this.settings = settings;
     this.store = store;
     this.view = view;
-    this.proofs = proofs;
-    this.placing = placing;
+    this.evidence = evidence;
+    this.placer = placer;
     this.rounds = rounds;
     this.owner = owner;
   }
@@ -234,7 +234,7 @@
     if (dirty.isEmpty() && !place) {
       return;
     }
-    long pace = Constants.ROSTER_PACE_MS + Constants.ROSTER_PACE_MS_A_PAGE * (view.pages(part) - 1);
+    long pace = Constants.RECORD_PACE_MS + Constants.RECORD_PACE_MS_A_PAGE * (view.pages(part) - 1);
     if (store.scarce() && now < lastWrite + pace) {
       return; // what ends meanwhile shares the write
     }
@@ -288,7 +288,7 @@
     }
     for (String name : List.copyOf(dirty)) {
       int page = d.page(name);
-      if (d.sizes.get(page) < limit() - Constants.ROSTER_SPARE_BYTES
+      if (d.sizes.get(page) < limit() - Constants.RECORD_SPARE_BYTES
           && d.touchable(page)
           && d.handled.size() < Constants.MACHINES_PER_WRITE) {
         dirty.remove(name);
@@ -313,11 +313,11 @@
     boolean crowded = false;
     for (int i = 0; i < d.next.size(); i++) {
       sum += d.sizes.get(i);
-      crowded |= d.next.get(i).onSize() > limit() * Constants.ROSTER_CROWDED;
+      crowded |= d.next.get(i).onSize() > limit() * Constants.RECORD_CROWDED;
     }
     return crowded
         && 2 * d.next.size() <= settings.state().txnOps()
-        && sum < Constants.MAX_BODY * Constants.ROSTER_WRITE_SHARE;
+        && sum < Constants.MAX_BODY * Constants.RECORD_WRITE_SHARE;
   }
 
   /**
@@ -327,14 +327,14 @@
    */
   private void divide(Draft d) {
     int pages = 2 * d.next.size();
-    List<Roster> old = List.copyOf(d.next);
+    List<PartitionRecord> old = List.copyOf(d.next);
     d.next.clear();
     for (int i = 0; i < pages; i++) {
-      d.next.add(Roster.page(pages));
+      d.next.add(PartitionRecord.page(pages));
       d.touch(i);
     }
     for (int i = 0; i < old.size(); i++) {
-      Roster r = old.get(i);
+      PartitionRecord r = old.get(i);
       r.on().forEach((m, text) -> d.next.get(d.page(m)).on().put(m, text));
       r.conditions().forEach((m, text) -> d.next.get(d.page(m)).conditions().put(m, text));
       d.next.get(i).done().putAll(r.done());
@@ -345,34 +345,34 @@
   }
 
   private static void merge(Map<String, String> texts, String job, TreeMap<Integer, Integer> more) {
-    TreeMap<Integer, Integer> all = Roster.indexes(texts.get(job));
+    TreeMap<Integer, Integer> all = PartitionRecord.indexes(texts.get(job));
     all.putAll(more);
-    texts.put(job, Roster.indexes(all));
+    texts.put(job, PartitionRecord.indexes(all));
   }
 
   /** Takes what is proved gone off a machine, and notes whether it is fit for more. */
   private void settle(Draft d, String name) {
-    View.Entry<Machine> e = view.machines.get(name);
+    StateCache.Entry<Machine> e = view.machines.get(name);
     if (e == null) {
       return;
     }
     Machine m = e.value();
-    Agent a = owner.agent(name);
-    boolean gone = view.drains.get(name) == View.Drain.GONE;
-    Map<TaskId, Proofs.End> ends = proofs.ends(a, m);
-    for (Map.Entry<TaskId, Proofs.End> end : ends.entrySet()) {
+    WorkerSession a = owner.session(name);
+    boolean gone = view.drains.get(name) == StateCache.Drain.GONE;
+    Map<TaskId, TerminationEvidence.End> ends = evidence.ends(a, m);
+    for (Map.Entry<TaskId, TerminationEvidence.End> end : ends.entrySet()) {
       TaskId t = end.getKey();
       int attempt = d.list(name).remove(t);
       moving.add(t);
       if (view.grant(t) != null && view.grant(t).attempt() == attempt) {
-        if (end.getValue() == Proofs.End.DONE) {
+        if (end.getValue() == TerminationEvidence.End.DONE) {
           d.note(d.done, d.page(name), t, 1);
         } else if (gone || !move(d, a, t)) {
           d.note(d.back, d.page(name), t, attempt);
         }
       }
       rounds.drop(t);
-      d.after.add(() -> placing.learn(a, t, end.getValue()));
+      d.after.add(() -> placer.learn(a, t, end.getValue()));
     }
     Machine.Condition wanted = a.condition == null ? m.condition() : a.condition;
     String condition = wanted == Machine.Condition.OK ? null : wanted.name();
@@ -401,20 +401,20 @@
   }
 
   /** A round's move: off this machine and onto the other in one write, under the next attempt. */
-  private boolean move(Draft d, Agent from, TaskId t) {
+  private boolean move(Draft d, WorkerSession from, TaskId t) {
     String name = rounds.target(t, from.name);
-    View.Entry<Machine> e = name == null ? null : view.machines.get(name);
-    View.Entry<Job> j = view.jobs.get(t.job());
+    StateCache.Entry<Machine> e = name == null ? null : view.machines.get(name);
+    StateCache.Entry<Job> j = view.jobs.get(t.job());
     if (e == null || d.target != null || !view.runs(t.job()) || view.grant(t).stop()) {
       return false;
     }
     Machine to = e.value();
-    Ledger there = owner.ledger(to.part());
-    Agent a = there == null ? null : there.owner.agent(name);
-    if (a == null || there != this && there.writing || !placing.placeable(a, to)) {
+    PartitionWriter there = owner.writer(to.part());
+    WorkerSession a = there == null ? null : there.owner.session(name);
+    if (a == null || there != this && there.writing || !placer.placeable(a, to)) {
       return false;
     }
-    Room r = placing.room(a, to);
+    MachineCapacity r = placer.room(a, to);
     if (r == null
         || !r.fits(j.value().spec())
         || d.lists.containsKey(name)
@@ -435,18 +435,18 @@
     if (there == this) {
       d.list(name).put(t, attempt);
     } else {
-      int page = Roster.pageOf(name, view.pages(to.part()));
-      String first = Keys.roster(to.part(), 0);
-      String key = Keys.roster(to.part(), page);
-      Roster next = view.roster(to.part(), page).copy();
+      int page = PartitionRecord.pageOf(name, view.pages(to.part()));
+      String first = Keys.record(to.part(), 0);
+      String key = Keys.record(to.part(), page);
+      PartitionRecord next = view.record(to.part(), page).copy();
       Map<TaskId, Integer> on = new LinkedHashMap<>(view.on(name));
       on.put(t, attempt);
-      next.on().put(name, Roster.tasks(on));
+      next.on().put(name, PartitionRecord.tasks(on));
       d.txn
           .when(first, view.stamp(first))
           .when(key, view.stamp(key))
           .when(Keys.claim(to.part().toString()), there.claim)
-          .put(key, Records.roster(next));
+          .put(key, Records.record(next));
       d.target = there;
       there.writing = true;
       there.moving.add(t);
@@ -460,7 +460,7 @@
     Map<String, Integer> ended = new LinkedHashMap<>();
     d.done.values().forEach(m -> m.forEach((job, l) -> ended.merge(job, l.size(), Integer::sum)));
     for (String job : ended.keySet()) {
-      View.Entry<Job> j = view.jobs.get(job);
+      StateCache.Entry<Job> j = view.jobs.get(job);
       if (j == null
           || !j.value().open()
           || view.done(job) + ended.get(job) < j.value().spec().tasks()) {
@@ -468,7 +468,7 @@
       }
       int writes = 1 + j.value().chunks();
       if (d.writes() + writes > settings.state().txnOps()) {
-        continue; // the desk finishes it
+        continue; // the leader finishes it
       }
       LOG.debug(
           "{} ({}) is done after {} ms, {} tasks of {} s estimated",
@@ -490,7 +490,7 @@
   private void place(Draft d) {
     int conditions =
         settings.state().txnOps() * 4 - d.txn.conditions() - d.next.size() - OTHER_CONDITIONS;
-    Placing.Plan plan = placing.plan(part, claim, moving, conditions, d);
+    FirstFitPlacer.Plan plan = placer.plan(part, claim, moving, conditions, d);
     plan.back()
         .forEach(
             (t, attempt) -> {
@@ -526,7 +526,7 @@
   }
 
   /** Forgets ended tasks that their job's progress has taken over, or that need none any more. */
-  private void prune(Roster r) {
+  private void prune(PartitionRecord r) {
     prune(
         r.done(),
         (job, i, attempt) -> {
@@ -547,12 +547,12 @@
 
   private static void prune(Map<String, String> texts, Known known) {
     for (String job : List.copyOf(texts.keySet())) {
-      TreeMap<Integer, Integer> list = Roster.indexes(texts.get(job));
+      TreeMap<Integer, Integer> list = PartitionRecord.indexes(texts.get(job));
       if (list.entrySet().removeIf(e -> known.known(job, e.getKey(), e.getValue()))) {
         if (list.isEmpty()) {
           texts.remove(job);
         } else {
-          texts.put(job, Roster.indexes(list));
+          texts.put(job, PartitionRecord.indexes(list));
         }
       }
     }
--- a/src/main/java/org/baygw/control/workers/Proofs.java
+++ b/src/main/java/org/baygw/control/workers/TerminationEvidence.java
@@ -8,10 +8,10 @@
 import org.baygw.control.model.Machine;
 import org.baygw.control.model.Progress;
 import org.baygw.control.model.TaskId;
-import org.baygw.control.store.View;
+import org.baygw.control.store.StateCache;
 
 /** What proves that a task is no longer on its machine. */
-final class Proofs {
+final class TerminationEvidence {
   /** How a task left its machine. */
   enum End {
     DONE,
@@ -19,10 +19,10 @@
   }
 
   private final Clock clock;
-  private final View view;
+  private final StateCache view;
   private final long leaseMs;
 
-  Proofs(Clock clock, Settings settings, View view) {
+  TerminationEvidence(Clock clock, Settings settings, StateCache view) {
     this.clock = clock;
     this.view = view;
     this.leaseMs = (long) (settings.workers().leaseS() * 1000 * (1 + Constants.DRIFT));
@@ -33,7 +33,7 @@
   }
 
   /** Notes it when a worker's session must be over, with all tasks it had; true if it just did. */
-  boolean lease(Agent a) {
+  boolean lease(WorkerSession a) {
     if (a.trusted()
         && clock.now() > a.lastAnswered + leaseMs + Constants.LEASE_MARGIN_MS
         && !a.leaseOver) {
@@ -50,7 +50,7 @@
   }
 
   /** The tasks of the machine's record that are proved gone from it. */
-  Map<TaskId, End> ends(Agent a, Machine m) {
+  Map<TaskId, End> ends(WorkerSession a, Machine m) {
     Map<TaskId, End> ends = null;
     for (Map.Entry<TaskId, Integer> t : m.tasks().entrySet()) {
       End end = end(a, m, t.getKey(), t.getValue());
@@ -63,8 +63,8 @@
   }
 
   /** How one of them is proved gone; null where it is not. */
-  End end(Agent a, Machine m, TaskId t, int attempt) {
-    if (view.drains.get(m.name()) == View.Drain.GONE) {
+  End end(WorkerSession a, Machine m, TaskId t, int attempt) {
+    if (view.drains.get(m.name()) == StateCache.Drain.GONE) {
       return End.BACK; // the cloud has taken the machine back: nothing on it is left
     }
     WorkerCodec.Seen s = a.seen.get(t);
--- a/src/main/java/org/baygw/control/workers/Contact.java
+++ b/src/main/java/org/baygw/control/workers/WorkerCommands.java
@@ -13,44 +13,44 @@
 import org.baygw.control.model.JobSpec;
 import org.baygw.control.model.Machine;
 import org.baygw.control.model.TaskId;
-import org.baygw.control.store.View;
+import org.baygw.control.store.StateCache;
 
 /**
  * What workers are told and asked: launches, kills, forgets, in answers to reports and directly.
  */
-final class Contact {
+final class WorkerCommands {
   /** Takes in a report that came as the answer to a call of ours. */
   interface Heard {
-    void heard(Agent a, byte[] body);
+    void heard(WorkerSession a, byte[] body);
   }
 
   private final Clock clock;
   private final Outbox out;
   private final Settings settings;
-  private final View view;
-  private final Proofs proofs;
-  private final Placing placing;
-  private final Rounds rounds;
+  private final StateCache view;
+  private final TerminationEvidence evidence;
+  private final FirstFitPlacer placer;
+  private final ConsolidationRound rounds;
   private final Heard heard;
   private long stalledAt;
   private final Histogram launchMs =
       new Histogram(Constants.HISTOGRAM_MAX_MS, Constants.HISTOGRAM_DIGITS);
 
-  Contact(
+  WorkerCommands(
       Clock clock,
       Outbox out,
       Settings settings,
-      View view,
-      Proofs proofs,
-      Placing placing,
-      Rounds rounds,
+      StateCache view,
+      TerminationEvidence evidence,
+      FirstFitPlacer placer,
+      ConsolidationRound rounds,
       Heard heard) {
     this.clock = clock;
     this.out = out;
     this.settings = settings;
     this.view = view;
-    this.proofs = proofs;
-    this.placing = placing;
+    this.evidence = evidence;
+    this.placer = placer;
     this.rounds = rounds;
     this.heard = heard;
   }
@@ -59,7 +59,7 @@
     return launchMs;
   }
 
-  boolean silent(Agent a) {
+  boolean silent(WorkerSession a) {
     double reports = Constants.LOST_REPORTS * settings.workers().reportS() * 1000;
     return a.deaf() || a.unanswered && clock.now() - heardAt(a) > reports;
   }
@@ -69,7 +69,7 @@
     stalledAt = clock.now();
   }
 
-  private long heardAt(Agent a) {
+  private long heardAt(WorkerSession a) {
     return Math.max(stalledAt, Math.max(a.lastHeard, a.since));
   }
 
@@ -78,7 +78,7 @@
    * takeover it may wait seconds for its former owner, and until it has seen the token nothing here
    * is proved.
    */
-  void ask(Agent a) {
+  void ask(WorkerSession a) {
     long now = clock.now();
     boolean quiet = now - heardAt(a) > Constants.ASK_REPORTS * settings.workers().reportS() * 1000;
     if (a.asking
@@ -110,7 +110,7 @@
   }
 
   /** The commands that go with the answer to a report. */
-  List<WorkerCodec.Order> reply(Agent a, Machine m, Ledger l, long tick) {
+  List<WorkerCodec.Order> reply(WorkerSession a, Machine m, PartitionWriter l, long tick) {
     List<WorkerCodec.Order> orders = orders(a, m, l, true);
     for (WorkerCodec.Order o : orders) {
       if (o.verb() == WorkerCodec.Verb.LAUNCH) {
@@ -122,12 +122,8 @@
   }
 
   /** Sends at once what should not wait for the next report. */
-  void urgent(Agent a, Machine m, Ledger l) {
-    if (a.directBusy
-        || a.addr.isEmpty()
-        || !a.trusted()
-        || a.leaseOver
-        || !placing.heardLately(a)) {
+  void urgent(WorkerSession a, Machine m, PartitionWriter l) {
+    if (a.directBusy || a.addr.isEmpty() || !a.trusted() || a.leaseOver || !placer.heardLately(a)) {
       return;
     }
     List<WorkerCodec.Order> orders = orders(a, m, l, false);
@@ -137,7 +133,8 @@
   }
 
   /** What the worker is to do now, by what it last reported. */
-  private List<WorkerCodec.Order> orders(Agent a, Machine m, Ledger l, boolean reply) {
+  private List<WorkerCodec.Order> orders(
+      WorkerSession a, Machine m, PartitionWriter l, boolean reply) {
     List<WorkerCodec.Order> orders = new ArrayList<>();
     List<WorkerCodec.Order> completed = new ArrayList<>();
     for (Map.Entry<TaskId, WorkerCodec.Seen> t : a.seen.entrySet()) {
@@ -173,10 +170,10 @@
       if (a.seen.containsKey(t.getKey())) {
         continue;
       }
-      Agent.Flight f = a.flights.get(t.getKey());
+      WorkerSession.Flight f = a.flights.get(t.getKey());
       boolean open = f == null || reply && f.replyTick == 0 && !a.directBusy;
       // What a write under way takes off the machine must not be started there again.
-      if (open && !l.moving(t.getKey()) && proofs.wanted(t.getKey(), t.getValue(), m)) {
+      if (open && !l.moving(t.getKey()) && evidence.wanted(t.getKey(), t.getValue(), m)) {
         orders.add(new WorkerCodec.Order(WorkerCodec.Verb.LAUNCH, t.getKey(), t.getValue(), 0));
       }
     }
@@ -184,14 +181,15 @@
   }
 
   /** Seconds a task gets to save when it is to stop; null if it is to run on. */
-  private Double grace(Agent a, TaskId t, WorkerCodec.Seen s, Machine m, boolean ours, Ledger l) {
-    View.Entry<Job> j = view.jobs.get(t.job());
+  private Double grace(
+      WorkerSession a, TaskId t, WorkerCodec.Seen s, Machine m, boolean ours, PartitionWriter l) {
+    StateCache.Entry<Job> j = view.jobs.get(t.job());
     boolean runs = view.runs(t.job());
     if (!ours || !runs) {
       return l.moving(t) && runs ? null : Double.valueOf(0);
     }
     JobSpec spec = j.value().spec();
-    if (!proofs.wanted(t, s.attempt(), m)) {
+    if (!evidence.wanted(t, s.attempt(), m)) {
       return spec.checkpoints() ? spec.graceS() : 0;
     }
     if (s.state() == WorkerCodec.State.RUNNING && rounds.target(t, m.name()) != null) {
@@ -211,14 +209,14 @@
   }
 
   /** Whether a task cannot be expected to end before its machine is taken. */
-  private boolean tooLate(Agent a, TaskId t, JobSpec spec) {
+  private boolean tooLate(WorkerSession a, TaskId t, JobSpec spec) {
     Long since = a.launched.get(t);
     double left = (a.noticeUntil - clock.now()) / 1000.0;
     double run = since == null ? 0 : (clock.now() - since) / 1000.0;
     return spec.estimateS() - run > left * Constants.NOTICE_SLACK;
   }
 
-  private void direct(Agent a, List<WorkerCodec.Order> orders) {
+  private void direct(WorkerSession a, List<WorkerCodec.Order> orders) {
     long token = a.token();
     List<TaskId> launches = new ArrayList<>();
     for (WorkerCodec.Order o : orders) {
@@ -237,12 +235,12 @@
         (status, body) -> answered(a, launches, status, body));
   }
 
-  private void answered(Agent a, List<TaskId> launches, int status, byte[] body) {
+  private void answered(WorkerSession a, List<TaskId> launches, int status, byte[] body) {
     a.directBusy = false;
     boolean certain = status == 200 || status == 409 || status == 400 || status == Outbox.NOT_SENT;
     if (certain) {
       for (TaskId t : launches) {
-        Agent.Flight f = a.flights.get(t);
+        WorkerSession.Flight f = a.flights.get(t);
         launched(a, t);
         if (f != null) {
           f.directToken = 0;
@@ -260,8 +258,8 @@
     }
   }
 
-  private void launched(Agent a, TaskId t) {
-    View.Entry<Job> j = view.jobs.get(t.job());
+  private void launched(WorkerSession a, TaskId t) {
+    StateCache.Entry<Job> j = view.jobs.get(t.job());
     if (a.launched.put(t, clock.now()) == null && j != null) {
       long waited = Math.max(0, clock.wall() - j.value().acceptedMs());
       launchMs.recordValue(Math.min(waited, Constants.HISTOGRAM_MAX_MS));
--- a/src/main/java/org/baygw/control/workers/Reach.java
+++ b/src/main/java/org/baygw/control/workers/WorkerReachability.java
@@ -7,25 +7,26 @@
 import org.baygw.control.core.Clock;
 import org.baygw.control.core.Outbox;
 import org.baygw.control.membership.Membership;
-import org.baygw.control.model.Part;
-import org.baygw.control.store.View;
+import org.baygw.control.model.Partition;
+import org.baygw.control.store.StateCache;
 
 /**
  * Whether this controller itself reaches the workers of its zone. When all of its own fall silent
- * at once it is likelier cut off from them than they are dead: then others take its parts, and its
- * workers are not held to be lost. It asks one worker after the other until one answers.
+ * at once it is likelier cut off from them than they are dead: then others take its partitions, and
+ * its workers are not held to be lost. It asks one worker after the other until one answers.
  */
-final class Reach {
+final class WorkerReachability {
   private final Clock clock;
   private final Outbox out;
   private final Settings settings;
-  private final View view;
+  private final StateCache view;
   private final Membership membership;
   private long lastHeard;
   private long nextAsk;
   private int asked;
 
-  Reach(Clock clock, Outbox out, Settings settings, View view, Membership membership) {
+  WorkerReachability(
+      Clock clock, Outbox out, Settings settings, StateCache view, Membership membership) {
     this.clock = clock;
     this.out = out;
     this.settings = settings;
@@ -59,7 +60,7 @@
       return;
     }
     int own = 0;
-    for (Part p : membership.parts()) {
+    for (Partition p : membership.partitions()) {
       if (p.zone().equals(settings.zone()) && membership.owned(p) != 0) {
         own += view.machinesOf(p).size();
       }
@@ -81,7 +82,7 @@
     }
     nextAsk = clock.now() + (long) (periodMs() * Constants.ASK_AGAIN_REPORTS);
     List<String> addrs = new ArrayList<>();
-    for (Part p : membership.parts()) {
+    for (Partition p : membership.partitions()) {
       if (p.zone().equals(settings.zone())) {
         view.machinesOf(p).forEach(m -> addrs.add(view.machines.get(m).value().addr()));
       }
--- a/src/main/java/org/baygw/control/workers/Agent.java
+++ b/src/main/java/org/baygw/control/workers/WorkerSession.java
@@ -9,8 +9,8 @@
 import org.baygw.control.model.Machine;
 import org.baygw.control.model.TaskId;
 
-/** What a part's owner knows of one worker, in memory only and for one claim only. */
-final class Agent {
+/** What a partition's owner knows of one worker, in memory only and for one claim only. */
+final class WorkerSession {
   /** A launch that may still take effect. */
   static final class Flight {
     /** Highest token of a direct launch without an answer; 0: none. */
@@ -46,7 +46,10 @@
   int errors;
   boolean sick;
 
-  /** What its part's record is to say of the machine; null as long as this owner has not looked. */
+  /**
+   * What its partition's record is to say of the machine; null as long as this owner has not
+   * looked.
+   */
   Machine.Condition condition;
 
   /** A change of this machine's own record is under way. */
@@ -67,7 +70,7 @@
   int unheeded;
   long lastUnheeded;
 
-  Agent(String name, long claim, long now) {
+  WorkerSession(String name, long claim, long now) {
     this.name = name;
     this.claim = claim;
     this.since = now;
--- a/src/main/java/org/baygw/control/workers/Workers.java
+++ b/src/main/java/org/baygw/control/workers/Workers.java
@@ -14,24 +14,24 @@
 import org.baygw.control.core.Clock;
 import org.baygw.control.core.Json;
 import org.baygw.control.core.Outbox;
-import org.baygw.control.membership.CancellationHorizon;
+import org.baygw.control.membership.CancellationWatermark;
 import org.baygw.control.membership.Membership;
 import org.baygw.control.model.Machine;
-import org.baygw.control.model.Part;
+import org.baygw.control.model.Partition;
 import org.baygw.control.model.Records;
 import org.baygw.control.model.TaskId;
-import org.baygw.control.placement.Room;
+import org.baygw.control.placement.MachineCapacity;
 import org.baygw.control.store.Keys;
+import org.baygw.control.store.StateCache;
 import org.baygw.control.store.Store;
 import org.baygw.control.store.Txn;
-import org.baygw.control.store.View;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
 /**
  * The owner's side of the workers: reports in, commands out. What is proved of a task is in {@link
- * Proofs}, what is said to workers in {@link Contact}, where tasks go in {@link Placing} and {@link
- * Rounds}, and a part's durable record in {@link Ledger}.
+ * Proofs}, what is said to workers in {@link WorkerCommands}, where tasks go in {@link
+ * FirstFitPlacer} and {@link Rounds}, and a partition's durable record in {@link PartitionWriter}.
  */
 public final class Workers {
   private static final Logger LOG = LoggerFactory.getLogger(Workers.class);
@@ -40,20 +40,20 @@
   private final Outbox out;
   private final Settings settings;
   private final Store store;
-  private final View view;
+  private final StateCache view;
   private final Membership membership;
-  private final CancellationHorizon horizon;
-  private final Map<String, Agent> agents = new HashMap<>();
-  private final Map<Part, Ledger> ledgers = new HashMap<>();
+  private final CancellationWatermark watermark;
+  private final Map<String, WorkerSession> sessions = new HashMap<>();
+  private final Map<Partition, PartitionWriter> writers = new HashMap<>();
 
   /** Machines the cloud has taken back: a late report must not bring one to life again. */
   private final Set<String> buried = new HashSet<>();
 
-  private final Rounds rounds = new Rounds();
-  private final Proofs proofs;
-  private final Placing placing;
-  private final Contact contact;
-  private final Reach reach;
+  private final ConsolidationRound rounds = new ConsolidationRound();
+  private final TerminationEvidence evidence;
+  private final FirstFitPlacer placer;
+  private final WorkerCommands commands;
+  private final WorkerReachability reachability;
   private final CancellationDeadline deadline;
   private long nextPass;
   private long seenChanges = -1;
@@ -65,24 +65,25 @@
       Outbox out,
       Settings settings,
       Store store,
-      View view,
+      StateCache view,
       Membership membership,
-      CancellationHorizon horizon,
+      CancellationWatermark watermark,
       Cloud cloud) {
-    this.horizon = horizon;
+    this.watermark = watermark;
     this.clock = clock;
     this.out = out;
     this.settings = settings;
     this.store = store;
     this.view = view;
     this.membership = membership;
-    this.reach = new Reach(clock, out, settings, view, membership);
-    this.proofs = new Proofs(clock, settings, view);
+    this.reachability = new WorkerReachability(clock, out, settings, view, membership);
+    this.evidence = new TerminationEvidence(clock, settings, view);
     this.deadline =
         new CancellationDeadline(
-            clock, settings, view, membership, proofs, cloud, horizon, this::owned);
-    this.placing = new Placing(clock, settings, view, agents, rounds);
-    this.contact = new Contact(clock, out, settings, view, proofs, placing, rounds, this::heard);
+            clock, settings, view, membership, evidence, cloud, watermark, this::owned);
+    this.placer = new FirstFitPlacer(clock, settings, view, sessions, rounds);
+    this.commands =
+        new WorkerCommands(clock, out, settings, view, evidence, placer, rounds, this::heard);
   }
 
   /** A worker's report. */
@@ -92,7 +93,7 @@
       out.answer(request, 400, Json.bytes(Json.object().put("error", "no report")));
       return;
     }
-    if (!store.loaded() || view.partsPerZone() == 0) {
+    if (!store.loaded() || view.partitionsPerZone() == 0) {
       String likely = membership.likelyOwner(r.machine(), r.zone());
       if (likely != null) {
         out.answer(request, 421, Json.bytes(WorkerCodec.home(likely)));
@@ -101,8 +102,8 @@
       }
       return;
     }
-    reach.heard(r.zone());
-    Part part = Part.of(r.machine(), r.zone(), view.partsPerZone());
+    reachability.heard(r.zone());
+    Partition part = Partition.of(r.machine(), r.zone(), view.partitionsPerZone());
     long claim = membership.owned(part);
     if (claim == 0) {
       String owner = membership.owner(part);
@@ -111,7 +112,7 @@
       out.answer(request, 421, Json.bytes(WorkerCodec.home(other ? owner : null)));
       return;
     }
-    Agent a = agent(r.machine(), claim);
+    WorkerSession a = session(r.machine(), claim);
     if (r.token() > a.token()) {
       // Someone with a newer claim speaks to it; a 200 of ours would only hold it here.
       overtaken(part, a, r);
@@ -119,31 +120,31 @@
       return;
     }
     if (!a.newer(r.session(), r.tick())
-        || view.drains.get(r.machine()) == View.Drain.GONE
+        || view.drains.get(r.machine()) == StateCache.Drain.GONE
         || buried.contains(r.machine())) {
       out.answer(request, 503, Json.bytes(Json.object().put("error", "an old report")));
       return;
     }
-    a.heed(r, clock.now(), proofs.leaseMs());
+    a.heed(r, clock.now(), evidence.leaseMs());
     take(a, r, true);
-    View.Entry<Machine> m = view.machines.get(a.name);
-    Ledger l = ledger(part, claim);
+    StateCache.Entry<Machine> m = view.machines.get(a.name);
+    PartitionWriter l = writer(part, claim);
     if (m == null) {
       register(a, r);
     } else {
       settle(a, m.value(), l);
     }
-    if (!horizon.recent()) {
+    if (!watermark.recent()) {
       // A 200 would let the worker keep tasks of which this controller cannot know that they were
       // cancelled; what is known to be cancelled is stopped directly all the same.
       if (m != null) {
-        contact.urgent(a, m.value(), l);
+        commands.urgent(a, m.value(), l);
       }
       out.answer(request, 503, Json.bytes(Json.object().put("error", "out of touch")));
       return;
     }
     List<WorkerCodec.Order> orders =
-        m == null ? List.of() : contact.reply(a, m.value(), l, r.tick());
+        m == null ? List.of() : commands.reply(a, m.value(), l, r.tick());
     a.lastAnswered = clock.now();
     a.leaseOver = false;
     a.answeredToken = a.token();
@@ -151,17 +152,17 @@
   }
 
   public void tick() {
-    if (!store.loaded() || view.partsPerZone() == 0) {
+    if (!store.loaded() || view.partitionsPerZone() == 0) {
       return;
     }
     long now = clock.now();
     if (lastTick > 0 && now - lastTick > Constants.STALL_MS) {
-      contact.stalled();
-      reach.stalled();
+      commands.stalled();
+      reachability.stalled();
       LOG.info("fell behind by {} ms", now - lastTick);
     }
     lastTick = now;
-    reach.tick();
+    reachability.tick();
     boolean whole = now >= nextPass;
     if (whole || view.changes() != seenChanges) {
       seenChanges = view.changes();
@@ -170,8 +171,8 @@
         nextPass = now + Constants.LOOK_MS;
         boolean all = now >= nextAll;
         nextAll = all ? now + Constants.LOOK_ALL_MS : nextAll;
-        agents.values().removeIf(a -> !a.busy && !owns(a));
-        for (Part p : membership.parts()) {
+        sessions.values().removeIf(a -> !a.busy && !owns(a));
+        for (Partition p : membership.partitions()) {
           if (membership.owned(p) != 0) {
             List.copyOf(view.machinesOf(p)).forEach(m -> lookAt(m, all));
           }
@@ -179,54 +180,54 @@
       }
     }
     deadline.tick();
-    for (Part p : membership.parts()) {
+    for (Partition p : membership.partitions()) {
       long claim = membership.owned(p);
       if (claim == 0) {
-        ledgers.remove(p);
+        writers.remove(p);
       } else {
-        ledger(p, claim).pump();
+        writer(p, claim).pump();
       }
     }
   }
 
   private void lookAt(String name, boolean all) {
-    View.Entry<Machine> e = view.machines.get(name);
+    StateCache.Entry<Machine> e = view.machines.get(name);
     long claim = e == null ? 0 : membership.owned(e.value().part());
     if (claim == 0) {
       return;
     }
     Machine m = e.value();
-    Agent a = agent(name, claim);
+    WorkerSession a = session(name, claim);
     if (a.addr.isEmpty()) {
       a.addr = m.addr();
     }
-    Ledger l = ledger(m.part(), claim);
-    if (view.drains.get(name) == View.Drain.GONE) {
+    PartitionWriter l = writer(m.part(), claim);
+    if (view.drains.get(name) == StateCache.Drain.GONE) {
       buried.add(name);
       l.dirty(name);
       return;
     }
     // Also while its record cannot be written: in an outage of the state service a cut may end, and
     // the machine must not be taken for silent afterwards.
-    contact.ask(a);
-    if (proofs.lease(a) || all) {
+    commands.ask(a);
+    if (evidence.lease(a) || all) {
       settle(a, m, l);
-      contact.urgent(a, m, l);
+      commands.urgent(a, m, l);
     } else if (condition(a, m) != m.condition()) {
       settle(a, m, l);
     }
   }
 
-  private Machine.Condition condition(Agent a, Machine m) {
+  private Machine.Condition condition(WorkerSession a, Machine m) {
     if (view.drains.containsKey(m.name())) {
       return m.condition();
     } else if (a.sick) {
       return Machine.Condition.SICK;
-    } else if (contact.silent(a)) {
+    } else if (commands.silent(a)) {
       // Where nobody else was heard lately that says nothing new; but what is silent stays so until
       // it is
-      // heard, or the desk would count its silence from the start again and again.
-      return a.deaf() || reach.sure() ? Machine.Condition.SILENT : m.condition();
+      // heard, or the leader would count its silence from the start again and again.
+      return a.deaf() || reachability.sure() ? Machine.Condition.SILENT : m.condition();
     } else if (a.noticeUntil > 0 || view.cordons.contains(m.name())) {
       return Machine.Condition.LEAVING;
     }
@@ -234,20 +235,20 @@
   }
 
   /** Has it written what is proved gone from the machine, and its condition. */
-  private void settle(Agent a, Machine m, Ledger l) {
+  private void settle(WorkerSession a, Machine m, PartitionWriter l) {
     a.condition = condition(a, m);
-    if (a.condition != m.condition() || !proofs.ends(a, m).isEmpty()) {
+    if (a.condition != m.condition() || !evidence.ends(a, m).isEmpty()) {
       l.dirty(m.name());
     }
   }
 
-  public Rounds rounds() {
+  public ConsolidationRound rounds() {
     return rounds;
   }
 
   /** Time from a job's acceptance to each first launch of its tasks here. */
   public Histogram launchMs() {
-    return contact.launchMs();
+    return commands.launchMs();
   }
 
   /** The design's rounds, a few steps at a time. */
@@ -266,28 +267,28 @@
             this::pinned,
             (machine, image) -> view.machines.get(machine).value().images().contains(image));
     if (!placed.isEmpty()) {
-      placing.choose(placed);
+      placer.choose(placed);
     }
   }
 
-  private List<Room> candidates() {
-    List<Room> found = new ArrayList<>();
-    for (Part p : membership.parts()) {
+  private List<MachineCapacity> candidates() {
+    List<MachineCapacity> found = new ArrayList<>();
+    for (Partition p : membership.partitions()) {
       long claim = membership.owned(p);
       if (claim != 0) {
-        found.addAll(placing.rooms(p, claim));
+        found.addAll(placer.rooms(p, claim));
       }
     }
     return found;
   }
 
-  /** Tasks granted to this controller's parts that are on no machine. */
-  private Map<TaskId, Part> pending() {
-    Map<TaskId, Part> found = new LinkedHashMap<>();
-    for (Part p : membership.parts()) {
+  /** Tasks granted to this controller's partitions that are on no machine. */
+  private Map<TaskId, Partition> pending() {
+    Map<TaskId, Partition> found = new LinkedHashMap<>();
+    for (Partition p : membership.partitions()) {
       long claim = membership.owned(p);
       if (claim != 0) {
-        Ledger l = ledger(p, claim);
+        PartitionWriter l = writer(p, claim);
         view.unplaced(p).stream().filter(t -> !l.moving(t)).forEach(t -> found.put(t, p));
       }
     }
@@ -302,50 +303,50 @@
     if (view.jobs.get(t.job()).value().spec().service()) {
       return 0;
     }
-    Long at = agents.get(machine).launched.get(t);
+    Long at = sessions.get(machine).launched.get(t);
     return at == null ? Double.POSITIVE_INFINITY : (clock.now() - at) / 1000.0;
   }
 
   private boolean pinned(String machine, TaskId t) {
-    WorkerCodec.Seen s = agents.get(machine).seen.get(t);
+    WorkerCodec.Seen s = sessions.get(machine).seen.get(t);
     return s == null || s.state() != WorkerCodec.State.RUNNING;
   }
 
-  private boolean owns(Agent a) {
-    View.Entry<Machine> m = view.machines.get(a.name);
+  private boolean owns(WorkerSession a) {
+    StateCache.Entry<Machine> m = view.machines.get(a.name);
     return m != null && membership.owned(m.value().part()) == a.claim
         || clock.now() - a.since < Constants.UNREGISTERED_MS && m == null;
   }
 
   /** What this controller knows of a machine's worker; null where it does not own the machine. */
-  private Agent owned(Machine m) {
+  private WorkerSession owned(Machine m) {
     long claim = membership.owned(m.part());
-    return claim == 0 ? null : agent(m.name(), claim);
+    return claim == 0 ? null : session(m.name(), claim);
   }
 
-  private Agent agent(String machine, long claim) {
-    Agent a = agents.get(machine);
+  private WorkerSession session(String machine, long claim) {
+    WorkerSession a = sessions.get(machine);
     if (a == null || a.claim != claim) {
       // Nothing known under another claim may count as proof under this one.
-      a = new Agent(machine, claim, clock.now());
-      agents.put(machine, a);
+      a = new WorkerSession(machine, claim, clock.now());
+      sessions.put(machine, a);
     }
     return a;
   }
 
-  private Ledger ledger(Part p, long claim) {
-    Ledger l = ledgers.get(p);
+  private PartitionWriter writer(Partition p, long claim) {
+    PartitionWriter l = writers.get(p);
     if (l == null || l.claim != claim) {
       l =
-          new Ledger(
-              p, claim, clock, settings, store, view, proofs, placing, rounds, new Ground(claim));
-      ledgers.put(p, l);
+          new PartitionWriter(
+              p, claim, clock, settings, store, view, evidence, placer, rounds, new Ground(claim));
+      writers.put(p, l);
     }
     return l;
   }
 
-  /** What a ledger sees of the rest. */
-  private final class Ground implements Ledger.Owner {
+  /** What a writer sees of the rest. */
+  private final class Ground implements PartitionWriter.Owner {
     private final long claim;
 
     Ground(long claim) {
@@ -353,14 +354,14 @@
     }
 
     @Override
-    public Agent agent(String machine) {
-      return Workers.this.agent(machine, claim);
+    public WorkerSession session(String machine) {
+      return Workers.this.session(machine, claim);
     }
 
     @Override
-    public Ledger ledger(Part part) {
+    public PartitionWriter writer(Partition part) {
       long held = membership.owned(part);
-      return held == 0 ? null : Workers.this.ledger(part, held);
+      return held == 0 ? null : Workers.this.writer(part, held);
     }
 
     @Override
@@ -369,7 +370,7 @@
     }
   }
 
-  private void overtaken(Part part, Agent a, WorkerCodec.Report r) {
+  private void overtaken(Partition part, WorkerSession a, WorkerCodec.Report r) {
     if (r.token() >> Constants.TOKEN_BITS > a.claim) {
       membership.overtaken(part, a.claim);
     }
@@ -377,7 +378,7 @@
   }
 
   /** Takes in a report, from wherever it came. */
-  private void take(Agent a, WorkerCodec.Report r, boolean checkin) {
+  private void take(WorkerSession a, WorkerCodec.Report r, boolean checkin) {
     if (r.session() > a.session) {
       a.flights.clear(); // commands of an earlier session are refused
       a.killed.clear();
@@ -393,7 +394,7 @@
     a.addr = r.addr();
     a.seen = r.tasks();
     a.lastHeard = clock.now();
-    reach.heard(r.zone());
+    reachability.heard(r.zone());
     a.unanswered = false;
     if (a.trusted() && !trustedBefore) {
       a.lastAnswered = clock.now(); // until now a former owner may have answered
@@ -408,11 +409,11 @@
    * Puts a machine on record once its worker has shown this claim's token: a copy of an old report
    * of a machine that was returned, even by a controller that has since crashed, cannot show it.
    */
-  private void register(Agent a, WorkerCodec.Report r) {
+  private void register(WorkerSession a, WorkerCodec.Report r) {
     if (a.busy || !a.trusted()) {
       return;
     }
-    Part part = Part.of(r.machine(), r.zone(), view.partsPerZone());
+    Partition part = Partition.of(r.machine(), r.zone(), view.partitionsPerZone());
     Machine m =
         new Machine(
             r.machine(),
@@ -436,22 +437,22 @@
   }
 
   /** A report that came as the answer to a call of ours. */
-  private void heard(Agent a, byte[] body) {
+  private void heard(WorkerSession a, byte[] body) {
     WorkerCodec.Report r = WorkerCodec.decode(Json.parse(body));
-    if (r == null || !r.machine().equals(a.name) || agents.get(a.name) != a) {
+    if (r == null || !r.machine().equals(a.name) || sessions.get(a.name) != a) {
       return;
     }
     if (r.token() > a.token()) {
-      overtaken(Part.of(r.machine(), r.zone(), view.partsPerZone()), a, r);
+      overtaken(Partition.of(r.machine(), r.zone(), view.partitionsPerZone()), a, r);
     } else if (a.newer(r.session(), r.tick()) && !a.leaseOver) {
       a.unheeded = 0; // it answered us, so it hears us
       take(a, r, false);
-      View.Entry<Machine> e = view.machines.get(a.name);
+      StateCache.Entry<Machine> e = view.machines.get(a.name);
       long claim = e == null ? 0 : membership.owned(e.value().part());
       if (claim == a.claim && claim != 0) {
-        Ledger l = ledger(e.value().part(), claim);
+        PartitionWriter l = writer(e.value().part(), claim);
         settle(a, e.value(), l);
-        contact.urgent(a, e.value(), l);
+        commands.urgent(a, e.value(), l);
       }
     }
   }
--- a/src/test/java/org/baygw/control/model/RosterTest.java
+++ b/src/test/java/org/baygw/control/model/PartitionRecordTest.java
@@ -8,9 +8,10 @@
 import org.junit.jupiter.api.Test;
 
 /**
- * Pages of a part's record: the same place for a machine whoever works it out, and evenly filled.
+ * Pages of a partition's record: the same place for a machine whoever works it out, and evenly
+ * filled.
  */
-final class RosterTest {
+final class PartitionRecordTest {
   private static String machine(int i) {
     return String.format("n-%06d", i);
   }
@@ -19,8 +20,8 @@
   void twiceThePagesLeaveAMachineOrMoveItToTheNewHalf() {
     for (int pages = 1; pages <= 32; pages *= 2) {
       for (int i = 0; i < 2_000; i++) {
-        int before = Roster.pageOf(machine(i), pages);
-        int after = Roster.pageOf(machine(i), 2 * pages);
+        int before = PartitionRecord.pageOf(machine(i), pages);
+        int after = PartitionRecord.pageOf(machine(i), 2 * pages);
         assertTrue(after == before || after == before + pages, machine(i) + " of " + pages);
       }
     }
@@ -28,12 +29,12 @@
 
   @Test
   void theMachinesOfOnePartSpreadOverItsPages() {
-    // Were the part's own hash taken again, the machines of a part would share few pages.
+    // Were the partition's own hash taken again, the machines of a partition would share few pages.
     int[] on = new int[8];
     int all = 0;
     for (int i = 0; i < 8_000; i++) {
-      if (Part.of(machine(i), "a", 8).index() == 3) {
-        on[Roster.pageOf(machine(i), 8)]++;
+      if (Partition.of(machine(i), "a", 8).index() == 3) {
+        on[PartitionRecord.pageOf(machine(i), 8)]++;
         all++;
       }
     }
@@ -44,12 +45,12 @@
 
   @Test
   void aPageIsReadAsItWasWritten() {
-    Roster r = Roster.page(4);
-    r.on().put("n-000001", Roster.tasks(Map.of(new TaskId("run-1", 3), 2)));
+    PartitionRecord r = PartitionRecord.page(4);
+    r.on().put("n-000001", PartitionRecord.tasks(Map.of(new TaskId("run-1", 3), 2)));
     r.conditions().put("n-000001", "SILENT");
     r.done().put("run-1", "0-2");
     r.back().put("run-1", "5*2");
-    assertEquals(r, Records.roster(Json.parse(Json.bytes(Records.roster(r)))));
-    assertEquals(1, Records.roster(Json.parse("{\"on\":{}}".getBytes())).pages());
+    assertEquals(r, Records.record(Json.parse(Json.bytes(Records.record(r)))));
+    assertEquals(1, Records.record(Json.parse("{\"on\":{}}".getBytes())).pages());
   }
 }
--- a/src/test/java/org/baygw/control/sim/FakeCloud.java
+++ b/src/test/java/org/baygw/control/sim/CloudStub.java
@@ -11,7 +11,7 @@
 import org.baygw.control.core.Json;
 
 /** The cloud, by its protocol: one machine type of 16 CPUs and 64 GB. */
-final class FakeCloud {
+final class CloudStub {
   static final String TYPE = "c16";
 
   private static final class Rented {
@@ -22,7 +22,7 @@
     boolean never;
   }
 
-  private final World world;
+  private final SimulatedCluster world;
   private final TreeMap<String, Rented> machines = new TreeMap<>();
   private final TreeMap<String, JsonNode> listed = new TreeMap<>();
   private final Map<String, JsonNode> bookings = new HashMap<>();
@@ -39,7 +39,7 @@
   long bootMs = 8_000;
   int rentals;
 
-  FakeCloud(World world) {
+  CloudStub(SimulatedCluster world) {
     this.world = world;
   }
 
@@ -76,7 +76,7 @@
           () -> {
             if (machines.containsKey(name)) {
               r.up = true;
-              FakeWorker w = new FakeWorker(world, name, zone, spot);
+              WorkerStub w = new WorkerStub(world, name, zone, spot);
               world.workers.put(name, w);
               w.start();
             }
@@ -100,13 +100,13 @@
   /** The cloud takes a machine away, or it dies. */
   void take(String name) {
     machines.remove(name);
-    FakeWorker w = world.workers.remove(name);
+    WorkerStub w = world.workers.remove(name);
     if (w != null) {
       w.gone();
     }
   }
 
-  void handle(String method, String path, JsonNode n, FakeState.Respond respond) {
+  void handle(String method, String path, JsonNode n, StateServiceStub.Respond respond) {
     if (world.now() < outageUntil) {
       respond.done(503, Json.bytes(Json.object().put("error", "trouble")));
     } else if (path.equals("/machine_types")) {
@@ -126,7 +126,7 @@
     }
   }
 
-  private void rent(JsonNode n, FakeState.Respond respond) {
+  private void rent(JsonNode n, StateServiceStub.Respond respond) {
     String booking = n.path("booking").asText();
     if (!bookings.containsKey(booking)) {
       List<String> names = new ArrayList<>();
--- a/src/test/java/org/baygw/control/sim/InputsTest.java
+++ b/src/test/java/org/baygw/control/sim/InputsTest.java
@@ -22,14 +22,15 @@
           + "'yard':null,'together':false,'spread':false,'loaners':true,'guessS':1,"
           + "'stashEveryS':0,'stashS':0,'dueS':null}";
 
-  private World world;
+  private SimulatedCluster world;
   private int status;
   private JsonNode body;
 
   @BeforeEach
   void start() {
-    world = new World(1, 1, List.of("a"), List.of(new Settings.Team("red", 8, 16, 0, 0)));
-    world.nodes.values().forEach(World.Node::start);
+    world =
+        new SimulatedCluster(1, 1, List.of("a"), List.of(new Settings.Team("red", 8, 16, 0, 0)));
+    world.nodes.values().forEach(SimulatedCluster.Node::start);
     world.runUntil(3_000);
   }
 
@@ -162,9 +163,9 @@
       assertEquals(1, m.path("tasks").size());
     }
     ask(8081, "GET", "/admin/v1/members", "");
-    assertEquals("yurt-0", body.path("desk").asText());
-    ask(8081, "GET", "/admin/v1/parts", "");
-    assertEquals(2, body.path("parts").size());
+    assertEquals("yurt-0", body.path("leader").asText());
+    ask(8081, "GET", "/admin/v1/partitions", "");
+    assertEquals(2, body.path("partitions").size());
   }
 
   @Test
@@ -172,7 +173,7 @@
     for (String key : List.of("b/job/x", "b/run/x", "b/prog/x/y", "b/params", "b/new/z")) {
       world.call(
           "user",
-          World.STATE,
+          SimulatedCluster.STATE,
           "POST",
           "/txn",
           ("{\"when\":[],\"then\":[{\"write\":\"" + key + "\",\"value\":{\"alpha\":\"x\"}}]}")
--- a/src/test/java/org/baygw/control/sim/Checker.java
+++ b/src/test/java/org/baygw/control/sim/InvariantChecker.java
@@ -14,7 +14,7 @@
 import org.baygw.control.config.Settings;
 
 /** Watches the simulated world and notes every broken rule of the protocol, by its name there. */
-final class Checker {
+final class InvariantChecker {
   /** A job as its user sent it. */
   record Submitted(
       String id,
@@ -31,9 +31,9 @@
       boolean mistaken,
       long runMs) {}
 
-  private final World world;
+  private final SimulatedCluster world;
   private final Map<String, Submitted> jobs = new HashMap<>();
-  private final TreeMap<String, Set<FakeWorker>> on = new TreeMap<>();
+  private final TreeMap<String, Set<WorkerStub>> on = new TreeMap<>();
 
   /** Thousandths of a CPU that each team has in use, kept with each start and end. */
   private final Map<String, Long> milliCpus = new HashMap<>();
@@ -54,7 +54,7 @@
   /** When a question about a job was last answered, and when it was first accepted. */
   private final Map<String, Long> answeredAt = new HashMap<>();
 
-  Checker(World world) {
+  InvariantChecker(SimulatedCluster world) {
     this.world = world;
   }
 
@@ -103,22 +103,22 @@
         .toList();
   }
 
-  Set<FakeWorker> machinesOf(String id) {
-    Set<FakeWorker> found = new LinkedHashSet<>();
+  Set<WorkerStub> machinesOf(String id) {
+    Set<WorkerStub> found = new LinkedHashSet<>();
     onOf(id).values().forEach(found::addAll);
     return found;
   }
 
   int tasksOn(String id) {
     int n = 0;
-    for (Set<FakeWorker> at : onOf(id).values()) {
+    for (Set<WorkerStub> at : onOf(id).values()) {
       n += at.size();
     }
     return n;
   }
 
   /** Where the job's tasks are: the character after the slash closes the range. */
-  private Map<String, Set<FakeWorker>> onOf(String id) {
+  private Map<String, Set<WorkerStub>> onOf(String id) {
     return on.subMap(id + "/", id + "0");
   }
 
@@ -199,11 +199,11 @@
     broken.add(rule + ": " + what);
   }
 
-  void started(FakeWorker w, String task) {
+  void started(WorkerStub w, String task) {
     starts++;
     Submitted s = job(task);
     begun.putIfAbsent(s.id(), world.now());
-    Set<FakeWorker> at = on.computeIfAbsent(task, k -> new LinkedHashSet<>());
+    Set<WorkerStub> at = on.computeIfAbsent(task, k -> new LinkedHashSet<>());
     if (!at.isEmpty()) {
       breaks("ran_twice", task);
     }
@@ -216,8 +216,8 @@
     }
     int here = 0;
     int elsewhere = 0;
-    for (Set<FakeWorker> others : onOf(s.id()).values()) {
-      for (FakeWorker o : others) {
+    for (Set<WorkerStub> others : onOf(s.id()).values()) {
+      for (WorkerStub o : others) {
         if (o.zone.equals(w.zone)) {
           here++;
         } else {
@@ -242,9 +242,9 @@
   /** Jobs of which a task that ran has left its machine. */
   final Set<String> everLeft = new HashSet<>();
 
-  void left(FakeWorker w, String task) {
+  void left(WorkerStub w, String task) {
     everLeft.add(task.substring(0, task.lastIndexOf('/')));
-    Set<FakeWorker> at = on.get(task);
+    Set<WorkerStub> at = on.get(task);
     if (at != null && at.remove(w)) {
       Submitted s = job(task);
       milliCpus.merge(s.team(), -Math.round(s.cpus() * 1000), Long::sum);
@@ -252,13 +252,13 @@
   }
 
   /** Tasks whose lease ended while their machine hung: for a cancellation they are still there. */
-  private final Map<FakeWorker, Set<String>> stuck = new HashMap<>();
+  private final Map<WorkerStub, Set<String>> stuck = new HashMap<>();
 
-  void stuck(FakeWorker w, String task) {
+  void stuck(WorkerStub w, String task) {
     stuck.computeIfAbsent(w, k -> new HashSet<>()).add(job(task).id());
   }
 
-  void unstuck(FakeWorker w) {
+  void unstuck(WorkerStub w) {
     stuck.remove(w);
   }
 
--- a/src/test/java/org/baygw/control/sim/StormTest.java
+++ b/src/test/java/org/baygw/control/sim/RandomFaultTest.java
@@ -9,7 +9,7 @@
 import org.junit.jupiter.params.provider.ValueSource;
 
 /** Days of random jobs and faults, each from its seed: no rule may break, whatever else happens. */
-final class StormTest {
+final class RandomFaultTest {
   private static final String[] CONTROLLERS = {"yurt-0", "yurt-1", "yurt-2"};
   private static final int DAYS_PER_TEST = 12;
 
@@ -63,7 +63,7 @@
           switch (r.nextInt(20)) {
             case 0 -> "crash " + c;
             case 1 -> "crash all";
-            case 2 -> "crash-desk";
+            case 2 -> "crash-leader";
             case 3 -> "state-outage only " + c;
             case 4 -> "cut " + c + " state " + k;
             case 5 -> "cut " + c + " workers " + k;
@@ -74,7 +74,7 @@
             case 12, 13, 14 -> "cut controllers " + m + " hold";
             case 15 -> "cut controllers " + m + " drop";
             case 16 -> "copies workers late " + (1 + r.nextInt(30));
-            case 17 -> "crash " + c + " for 0.2\nat " + (at + 0.4) + " crash-desk";
+            case 17 -> "crash " + c + " for 0.2\nat " + (at + 0.4) + " crash-leader";
             case 18 -> "crash all for 0.1\nat " + (at + 0.25) + " crash " + c;
             default -> "cut " + c + " cloud " + k;
           };
@@ -126,8 +126,8 @@
               case 7 -> "odd-requests";
               case 8, 9 -> "state-outage";
               case 10, 11 -> "state-outage only " + c;
-              case 12 -> "crash-desk";
-              case 13 -> "crash " + c + " for 0.2\nat " + (at + 0.4) + " crash-desk";
+              case 12 -> "crash-leader";
+              case 13 -> "crash " + c + " for 0.2\nat " + (at + 0.4) + " crash-leader";
               // Longer than a lease; with nobody there nothing can be had of machines that hang.
               case 14 -> "crash all for " + (1 + r.nextInt(14)) + "\nat " + at + " odd-requests";
               case 15 -> "cut-zone-workers " + (r.nextBoolean() ? "a" : "b");
--- a/src/test/java/org/baygw/control/sim/Scenario.java
+++ b/src/test/java/org/baygw/control/sim/Scenario.java
@@ -23,7 +23,7 @@
   private int controllers = 3;
   private long seed = 1;
   private long end = 60_000;
-  private World world;
+  private SimulatedCluster world;
 
   /** Submissions, as they were sent. */
   private final Map<String, byte[]> sent = new TreeMap<>();
@@ -95,7 +95,7 @@
     if (teams.isEmpty()) {
       teams.add(new Settings.Team("red", 64, 256, 0, 0));
     }
-    world = new World(seed, controllers, zones, teams);
+    world = new SimulatedCluster(seed, controllers, zones, teams);
     for (String[] w : setUp) {
       switch (w[0]) {
         case "machines" -> {
@@ -137,7 +137,7 @@
         }
       }
     }
-    world.nodes.values().forEach(World.Node::start);
+    world.nodes.values().forEach(SimulatedCluster.Node::start);
     world.after(troublesEnd, world.checker::watchWaiting);
     world.runUntil(end);
     world.checker.over(troublesEnd);
@@ -180,24 +180,25 @@
       case "submit" -> submit(w);
       case "abort" -> abort(w[3], word(w, "via", null));
       case "crash" -> {
-        for (World.Node n : world.nodes.values()) {
+        for (SimulatedCluster.Node n : world.nodes.values()) {
           if (w[3].equals("all") || w[3].equals(n.label)) {
             n.crash();
             world.after(forMs, n::start);
           }
         }
       }
-      case "crash-desk" -> {
-        JsonNode claim = world.state.value("b/claim/desk");
+      case "crash-leader" -> {
+        JsonNode claim = world.state.value("b/claim/leader");
         if (claim == null) {
           return; // nobody holds it just now
         }
-        World.Node n = world.nodes.get(claim.path("owner").asText());
+        SimulatedCluster.Node n = world.nodes.get(claim.path("owner").asText());
         n.crash();
         world.after(forMs, n::start);
       }
       case "cut" -> {
-        World.Cut kind = World.Cut.valueOf(w[5].toUpperCase().replace('-', '_'));
+        SimulatedCluster.Cut kind =
+            SimulatedCluster.Cut.valueOf(w[5].toUpperCase().replace('-', '_'));
         for (String a : names(w[3])) {
           for (String b : names(w[4])) {
             world.cut(a, b, kind, forMs);
@@ -207,11 +208,11 @@
       case "apart" -> {
         // Cut off from the state service and the siblings, not from workers and users.
         for (String other : names("controllers")) {
-          world.cut(w[3], other, World.Cut.DROP, forMs);
-          world.cut(other, w[3], World.Cut.DROP, forMs);
+          world.cut(w[3], other, SimulatedCluster.Cut.DROP, forMs);
+          world.cut(other, w[3], SimulatedCluster.Cut.DROP, forMs);
         }
-        world.cut(w[3], "state", World.Cut.HOLD, forMs);
-        world.cut("state", w[3], World.Cut.DROP, forMs);
+        world.cut(w[3], "state", SimulatedCluster.Cut.HOLD, forMs);
+        world.cut("state", w[3], SimulatedCluster.Cut.DROP, forMs);
       }
       case "mute" -> names(w[3]).forEach(m -> world.mute(m, forMs));
       case "late-writes" ->
@@ -230,11 +231,11 @@
       case "odd-requests" -> odd(world.now() + forMs);
       case "cut-zone-workers" -> {
         // Cut off from the controllers of other zones; what its own controllers say still arrives.
-        for (FakeWorker worker : world.workers.values()) {
-          for (World.Node n : world.nodes.values()) {
+        for (WorkerStub worker : world.workers.values()) {
+          for (SimulatedCluster.Node n : world.nodes.values()) {
             if (worker.zone.equals(w[3]) && !n.zone.equals(w[3])) {
-              world.cut(worker.name, n.label, World.Cut.DROP, forMs);
-              world.cut(n.label, worker.name, World.Cut.DROP, forMs);
+              world.cut(worker.name, n.label, SimulatedCluster.Cut.DROP, forMs);
+              world.cut(n.label, worker.name, SimulatedCluster.Cut.DROP, forMs);
             }
           }
         }
@@ -345,8 +346,8 @@
 
   private void submit(String[] w) {
     Map<String, String> o = options(w, 4);
-    Checker.Submitted s =
-        new Checker.Submitted(
+    InvariantChecker.Submitted s =
+        new InvariantChecker.Submitted(
             w[3],
             o.getOrDefault("team", teams.get(0).name()),
             o.containsKey("service"),
@@ -521,7 +522,7 @@
           failures.add(world.cloud.size() + " machines");
         }
       }
-      case "all-own-parts" -> {
+      case "all-own-partitions" -> {
         for (String label : world.labels) {
           if (!world.state.holds(label)) {
             failures.add(label + " holds no part");
