--- a/src/test/java/org/baygw/control/sim/World.java
+++ b/src/test/java/org/baygw/control/sim/SimulatedCluster.java
@@ -19,7 +19,7 @@
  * A simulated deployment: clock, network, state service, cloud, workers and users around real
  * cores. Everything random comes from one seed, so a scenario always plays the same.
  */
-final class World {
+final class SimulatedCluster {
   static final String STATE = "10.9.0.1:2379";
   static final String CLOUD = "10.9.0.2:8443";
   static final int REPORT_MS = 2_000;
@@ -41,10 +41,10 @@
 
   final Random random;
   final List<String> zones;
-  final Checker checker = new Checker(this);
-  final FakeState state = new FakeState(this);
-  final FakeCloud cloud = new FakeCloud(this);
-  final Map<String, FakeWorker> workers = new TreeMap<>();
+  final InvariantChecker checker = new InvariantChecker(this);
+  final StateServiceStub state = new StateServiceStub(this);
+  final CloudStub cloud = new CloudStub(this);
+  final Map<String, WorkerStub> workers = new TreeMap<>();
   final List<String> labels = new ArrayList<>();
   final Map<String, Node> nodes = new TreeMap<>();
   final List<Settings.Team> teams;
@@ -80,7 +80,7 @@
     Controller core;
     int life;
     private long requests;
-    private final Map<Long, FakeState.Respond> pending = new HashMap<>();
+    private final Map<Long, StateServiceStub.Respond> pending = new HashMap<>();
 
     Node(String label, String zone, long wallErrorMs) {
       this.wallErrorMs = wallErrorMs;
@@ -116,7 +116,8 @@
       life++;
     }
 
-    void receive(boolean peer, String method, String path, byte[] body, FakeState.Respond respond) {
+    void receive(
+        boolean peer, String method, String path, byte[] body, StateServiceStub.Respond respond) {
       long id = ++requests;
       pending.put(id, respond);
       carryOut(
@@ -129,7 +130,7 @@
       int mine = life;
       for (Outbox.Effect e : effects) {
         if (e instanceof Outbox.Answer a) {
-          FakeState.Respond r = pending.remove(a.request());
+          StateServiceStub.Respond r = pending.remove(a.request());
           if (r != null) {
             r.done(a.status(), a.body());
           }
@@ -152,7 +153,7 @@
     }
   }
 
-  World(long seed, int controllers, List<String> zones, List<Settings.Team> teams) {
+  SimulatedCluster(long seed, int controllers, List<String> zones, List<Settings.Team> teams) {
     this.random = new Random(seed);
     this.zones = zones;
     this.teams = teams;
@@ -296,7 +297,7 @@
       String method,
       String path,
       byte[] body,
-      FakeState.Respond respond) {
+      StateServiceStub.Respond respond) {
     JsonNode n = peer || body == null || body.length == 0 ? Json.object() : Json.parse(body);
     if (to.equals("state")) {
       state.handle(from, method, path, n, respond);
--- a/src/test/java/org/baygw/control/sim/FakeState.java
+++ b/src/test/java/org/baygw/control/sim/StateServiceStub.java
@@ -11,7 +11,7 @@
 import org.baygw.control.core.Json;
 
 /** The state service, by its protocol. */
-final class FakeState {
+final class StateServiceStub {
   /** Sends an answer. */
   interface Respond {
     void done(int status, byte[] body);
@@ -23,7 +23,7 @@
 
   private record Watch(String from, String under, long after, long until, Respond respond) {}
 
-  private final World world;
+  private final SimulatedCluster world;
   private final TreeMap<String, Item> items = new TreeMap<>();
   private final List<Change> history = new ArrayList<>();
   private final Map<Long, long[]> holds = new HashMap<>();
@@ -45,7 +45,7 @@
   /** The first write that goes over a limit of the protocol, or null. */
   String malformed;
 
-  FakeState(World world) {
+  StateServiceStub(SimulatedCluster world) {
     this.world = world;
   }
 
@@ -111,13 +111,13 @@
     return items.keySet().stream().anyMatch(k -> k.startsWith(under));
   }
 
-  /** Whether the controller holds the claim of a part. */
+  /** Whether the controller holds the claim of a partition. */
   boolean holds(String label) {
     return items.entrySet().stream()
         .anyMatch(
             e ->
                 e.getKey().startsWith("b/claim/")
-                    && !e.getKey().endsWith("/desk")
+                    && !e.getKey().endsWith("/leader")
                     && e.getValue().value().path("owner").asText().equals(label));
   }
 
@@ -259,7 +259,7 @@
     return what != null;
   }
 
-  /** Most pages that a part's record has. */
+  /** Most pages that a partition's record has. */
   int mostPages() {
     return items.entrySet().stream()
         .filter(e -> e.getKey().startsWith("b/run/"))
--- a/src/test/java/org/baygw/control/sim/FakeWorker.java
+++ b/src/test/java/org/baygw/control/sim/WorkerStub.java
@@ -12,7 +12,7 @@
 import org.baygw.control.core.Json;
 
 /** A worker, by its protocol. */
-final class FakeWorker {
+final class WorkerStub {
   /** One attempt at a task. */
   static final class Run {
     final String task;
@@ -32,7 +32,7 @@
     }
   }
 
-  final World world;
+  final SimulatedCluster world;
   final String name;
   final String zone;
   final boolean spot;
@@ -52,7 +52,7 @@
   boolean sick;
   Long noticeUntil;
 
-  FakeWorker(World world, String name, String zone, boolean spot) {
+  WorkerStub(SimulatedCluster world, String name, String zone, boolean spot) {
     this.world = world;
     this.name = name;
     this.zone = zone;
@@ -114,7 +114,8 @@
       answeredSent = now;
       changed = true;
     }
-    long period = World.REPORT_MS * 3 / 4 + world.random.nextInt(World.REPORT_MS / 2);
+    long period =
+        SimulatedCluster.REPORT_MS * 3 / 4 + world.random.nextInt(SimulatedCluster.REPORT_MS / 2);
     if (!hung && !reporting && (now - lastReport >= period || changed && now - lastReport >= 500)) {
       report();
     }
@@ -183,7 +184,7 @@
 
   private ObjectNode describe() {
     ObjectNode n = Json.object().put("host", name).put("address", name + ":9000");
-    n.put("build", FakeCloud.TYPE).put("yard", zone).put("loaners", spot);
+    n.put("build", CloudStub.TYPE).put("yard", zone).put("loaners", spot);
     n.put("stint", session).put("tick", ++tick).put("baton", token);
     if (noticeUntil != null) {
       n.put("warningS", (noticeUntil - world.now()) / 1000.0);
@@ -199,7 +200,7 @@
     return n;
   }
 
-  void handle(String method, String path, JsonNode n, FakeState.Respond respond) {
+  void handle(String method, String path, JsonNode n, StateServiceStub.Respond respond) {
     if (dead) {
       return;
     }
@@ -259,7 +260,7 @@
     Run r = new Run(task, attempt);
     runs.put(task, r);
     changed = true;
-    Checker.Submitted job = world.checker.job(task);
+    InvariantChecker.Submitted job = world.checker.job(task);
     if (job == null) {
       end(r, "no_such");
       return;
@@ -287,7 +288,7 @@
         });
   }
 
-  private void begin(Run r, Checker.Submitted job) {
+  private void begin(Run r, InvariantChecker.Submitted job) {
     r.status = "running";
     changed = true;
     world.checker.started(this, r.task);
@@ -316,7 +317,7 @@
   }
 
   private void kill(Run r, double graceS) {
-    Checker.Submitted job = world.checker.job(r.task);
+    InvariantChecker.Submitted job = world.checker.job(r.task);
     r.life++;
     if (r.status.equals("running") && job.saves() && graceS >= 1) {
       r.status = "saving";
