--- a/src/main/java/org/baygw/control/workers/FirstFitPlacer.java
+++ b/src/main/java/org/baygw/control/workers/FirstFitPlacer.java
@@ -21,15 +21,8 @@
 import org.baygw.control.placement.MachineCapacity;
 import org.baygw.control.store.StateCache;
 
-/** First fit for the tasks granted to a partition, and what is learnt from tasks that fail. */
+/** First fit for the tasks granted to a partition. */
 final class FirstFitPlacer {
-  /** A job whose tasks fail waits longer and longer. */
-  private static final class Backoff {
-    int errors;
-    long until;
-    final Map<String, Long> machines = new HashMap<>();
-  }
-
   /** What a partition's record can still take. */
   interface Space {
     /** Whether a task on the machine can go into the next write. */
@@ -49,7 +42,7 @@
   private final ConsolidationRound rounds;
   private final CapacityCache rooms;
   private final Map<TaskId, Long> unplacedSince = new HashMap<>();
-  private final Map<String, Backoff> backoffs = new HashMap<>();
+  private final TaskFailures failures;
 
   /** Where a round wants pending tasks. */
   private final Map<TaskId, String> chosen = new HashMap<>();
@@ -66,6 +59,12 @@
     this.sessions = sessions;
     this.rounds = rounds;
     this.rooms = new CapacityCache(view);
+    this.failures = new TaskFailures(clock, view);
+  }
+
+  /** What is learnt from tasks that fail. */
+  TaskFailures failures() {
+    return failures;
   }
 
   void choose(Map<TaskId, String> placed) {
@@ -212,16 +211,12 @@
 
   /** The best suited machine. */
   private MachineCapacity firstFit(List<MachineCapacity> free, JobSpec s) {
-    Backoff b = backoffs.get(s.id());
-    if (b != null && clock.now() < b.until) {
+    if (failures.waits(s.id())) {
       return null;
     }
     MachineCapacity best = null;
     for (MachineCapacity r : free) {
-      if (!r.fits(s)) {
-        continue;
-      }
-      if (b != null && b.machines.getOrDefault(r.machine().name(), 0L) > clock.now()) {
+      if (!r.fits(s) || failures.avoids(s.id(), r.machine().name())) {
         continue;
       }
       if (best == null || r.better(best, s)) {
@@ -230,34 +225,4 @@
     }
     return best;
   }
-
-  /** Tells a machine that fails everything from a job that fails everywhere. */
-  void learn(WorkerSession a, TaskId t, TerminationEvidence.End end) {
-    WorkerCodec.Seen s = a.seen.get(t);
-    if (end == TerminationEvidence.End.DONE) {
-      a.errors = 0;
-      a.failedJobs.clear();
-      backoffs.remove(t.job());
-      return;
-    }
-    if (s == null || s.state() != WorkerCodec.State.ENDED || s.cause() != WorkerCodec.Cause.ERROR) {
-      return;
-    }
-    a.errors++;
-    a.failedJobs.add(t.job());
-    Backoff b = backoffs.computeIfAbsent(t.job(), k -> new Backoff());
-    boolean elsewhere = !b.machines.isEmpty() && !b.machines.containsKey(a.name);
-    b.machines.put(a.name, clock.now() + Constants.ERROR_BACKOFF_MAX_MS);
-    if (elsewhere) {
-      b.errors++;
-      b.until =
-          clock.now()
-              + Math.min(
-                  Constants.ERROR_BACKOFF_MAX_MS,
-                  Constants.ERROR_BACKOFF_MS << Math.min(b.errors, 6));
-    }
-    if (a.errors >= Constants.SICK_ERRORS && a.failedJobs.size() > 1) {
-      a.sick = true;
-    }
-  }
 }
--- a/src/main/java/org/baygw/control/workers/WorkerSession.java
+++ b/src/main/java/org/baygw/control/workers/WorkerSession.java
@@ -1,10 +1,8 @@
 package org.baygw.control.workers;
 
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.Map;
-import java.util.Set;
 import org.baygw.control.Constants;
 import org.baygw.control.model.Machine;
 import org.baygw.control.model.TaskId;
@@ -42,8 +40,10 @@
   final Map<TaskId, Long> launched = new HashMap<>();
 
   final Map<TaskId, Long> killed = new HashMap<>();
-  final Set<String> failedJobs = new HashSet<>();
-  int errors;
+
+  /** Tasks that failed here since one last completed, by job. */
+  final Map<String, Integer> failures = new HashMap<>();
+
   boolean sick;
 
   /**
