--- a/src/main/java/org/baygw/control/store/Store.java
+++ b/src/main/java/org/baygw/control/store/Store.java
@@ -118,7 +118,7 @@
     return loaded;
   }
 
-  /** When the state service last answered this controller. */
+  /** When the latest request was sent that the state service has answered. */
   public long lastContact() {
     return lastContact;
   }
@@ -388,6 +388,7 @@
   }
 
   private void send(String method, String path, byte[] body, long timeout, Outbox.Callback then) {
+    long sent = clock.now();
     out.call(
         addr,
         method,
@@ -399,7 +400,9 @@
             requests.rest(clock.now(), Constants.BUCKET_REST_MS);
             writes.rest(clock.now(), Constants.BUCKET_REST_MS);
           } else if (status > 0 && status < 500) {
-            lastContact = clock.now();
+            // Not the time of the answer: a process that stood still takes old answers in when it
+            // wakes, and would think itself in touch in an outage that began meanwhile.
+            lastContact = Math.max(lastContact, sent);
           }
           then.done(status, answer);
         });
--- a/src/test/java/org/baygw/control/sim/RandomFaultTest.java
+++ b/src/test/java/org/baygw/control/sim/RandomFaultTest.java
@@ -147,6 +147,27 @@
     }
   }
 
+  /** The same with controllers that stand still for seconds, the leader oftener than others. */
+  static String freezes(long seed) {
+    Random r = new Random(seed);
+    StringBuilder b = new StringBuilder();
+    for (int i = 0; i < 6; i++) {
+      double at = 8 + r.nextDouble() * 95;
+      String act = r.nextInt(3) == 0 ? "freeze " + CONTROLLERS[r.nextInt(3)] : "freeze-leader";
+      double span = r.nextBoolean() ? 1 + r.nextDouble() * 8 : 8 + r.nextDouble() * 30;
+      b.append(String.format(Locale.ROOT, "at %.2f %s for %.2f%n", at, act, span));
+    }
+    return meetings(seed) + b;
+  }
+
+  @ParameterizedTest
+  @ValueSource(longs = {1, 2, 3})
+  void keepsTheRulesWhenControllersFreeze(long first) {
+    for (long seed = first * 1000; seed < first * 1000 + DAYS_PER_TEST; seed++) {
+      assertEquals(List.of(), Scenario.play(freezes(seed)), "day " + seed);
+    }
+  }
+
   /** Days that broke a rule once: what was wrong on each stands in docs/SAFETY.md. */
   @ParameterizedTest
   @ValueSource(longs = {272, 547, 569, 661, 687, 756})
--- a/src/test/java/org/baygw/control/sim/Scenario.java
+++ b/src/test/java/org/baygw/control/sim/Scenario.java
@@ -196,6 +196,13 @@
         n.crash();
         world.after(forMs, n::start);
       }
+      case "freeze" -> world.nodes.get(w[3]).freeze(forMs);
+      case "freeze-leader" -> {
+        JsonNode claim = world.state.value("b/claim/leader");
+        if (claim != null) {
+          world.nodes.get(claim.path("owner").asText()).freeze(forMs);
+        }
+      }
       case "cut" -> {
         SimulatedCluster.Cut kind =
             SimulatedCluster.Cut.valueOf(w[5].toUpperCase().replace('-', '_'));
--- a/src/test/java/org/baygw/control/sim/SimulatedCluster.java
+++ b/src/test/java/org/baygw/control/sim/SimulatedCluster.java
@@ -79,6 +79,7 @@
 
     Controller core;
     int life;
+    private long frozenUntil;
     private long requests;
     private final Map<Long, StateServiceStub.Respond> pending = new HashMap<>();
 
@@ -90,6 +91,7 @@
 
     void start() {
       life++;
+      frozenUntil = 0;
       pending.clear();
       core = new Controller(settings(this));
       int mine = life;
@@ -99,12 +101,31 @@
     private void ticks(int mine) {
       after(
           25,
-          () -> {
-            if (core != null && life == mine) {
-              carryOut(core.tick(now, wall()));
-              ticks(mine);
-            }
-          });
+          () ->
+              whenAwake(
+                  mine,
+                  () -> {
+                    carryOut(core.tick(now, wall()));
+                    ticks(mine);
+                  }));
+    }
+
+    /**
+     * The process stands still while its clocks run on; what comes meanwhile is handled after it.
+     */
+    void freeze(long forMs) {
+      frozenUntil = now + forMs;
+    }
+
+    private void whenAwake(int mine, Runnable action) {
+      if (core == null || life != mine) {
+        return;
+      }
+      if (now < frozenUntil) {
+        after(frozenUntil - now, () -> whenAwake(mine, action));
+      } else {
+        action.run();
+      }
     }
 
     private long wall() {
@@ -120,10 +141,13 @@
         boolean peer, String method, String path, byte[] body, StateServiceStub.Respond respond) {
       long id = ++requests;
       pending.put(id, respond);
-      carryOut(
-          peer
-              ? core.peerRequest(now, wall(), id, method, path, body)
-              : core.request(now, wall(), id, method, path, body));
+      whenAwake(
+          life,
+          () ->
+              carryOut(
+                  peer
+                      ? core.peerRequest(now, wall(), id, method, path, body)
+                      : core.request(now, wall(), id, method, path, body)));
     }
 
     private void carryOut(List<Outbox.Effect> effects) {
@@ -143,11 +167,9 @@
               path,
               c.body(),
               c.timeoutMs(),
-              (status, body) -> {
-                if (core != null && life == mine) {
-                  carryOut(core.outcome(now, wall(), c.then(), status, body));
-                }
-              });
+              (status, body) ->
+                  whenAwake(
+                      mine, () -> carryOut(core.outcome(now, wall(), c.then(), status, body))));
         }
       }
     }
