--- a/src/main/java/org/baygw/control/Constants.java
+++ b/src/main/java/org/baygw/control/Constants.java
@@ -24,7 +24,7 @@
   public static final double RECORD_ENDED = 0.3;
 
   /**
-   * Share of it that what a page's machines have to do takes when the record gets twice the pages:
+   * Share of it that what a page's machines have to do takes when pages of the record are split:
    * with what has ended there the page is nearly full then.
    */
   public static final double RECORD_CROWDED = 0.5;
@@ -76,14 +76,25 @@
    */
   public static final int DELETES_PER_WRITE = 6;
 
+  /** Bytes that a machine takes of its partition's list of leaving machines, with some to spare. */
+  public static final int DRAIN_ENTRY_BYTES = 40;
+
   /** Images remembered for a machine: about as many as its cache holds. */
   public static final int MACHINE_IMAGES = 20;
 
+  /** ms. The core's clock step where the processor allows it: fine against second-long aims. */
+  public static final long TICK_MS = 50;
+
+  /** ms of a whole core that a step with nothing to do takes, with its wake-up. */
+  public static final double TICK_COST_MS = 0.3;
+
+  /** Share of the processor for steps that nothing but the clock calls for. */
+  public static final double TICK_SHARE = 0.06;
+
   /**
-   * ms. The core's clock step: fine against second-long aims. Every answer is a step too, so a
-   * shorter one only wakes the process more often, at half a millisecond of processor time each.
+   * ms. The longest clock step, however slow the processor: renewals and looks must not be late.
    */
-  public static final long TICK_MS = 50;
+  public static final long TICK_MOST_MS = 150;
 
   /** ms. A hold's life: two lost renewals and a slow answer are survived, a crash is seen soon. */
   public static final long HOLD_TTL_MS = 5_000;
--- a/src/main/java/org/baygw/control/Controller.java
+++ b/src/main/java/org/baygw/control/Controller.java
@@ -77,23 +77,17 @@
     return out.drain();
   }
 
-  /** The outcome of a call that this core asked for. */
+  /** The outcome of a call that this core asked for; a tick is to follow soon. */
   public List<Outbox.Effect> outcome(
       long nowMs, long wallMs, Outbox.Callback then, int status, byte[] body) {
     clock.set(nowMs, wallMs);
     then.done(status, body);
-    step();
     return out.drain();
   }
 
-  /** Time has passed. */
+  /** Time has passed, or outcomes have come: looks at what there is to do. */
   public List<Outbox.Effect> tick(long nowMs, long wallMs) {
     clock.set(nowMs, wallMs);
-    step();
-    return out.drain();
-  }
-
-  private void step() {
     store.tick();
     membership.tick();
     peers.tick();
@@ -102,5 +96,6 @@
     workers.round();
     fleet.tick();
     cloud.tick();
+    return out.drain();
   }
 }
--- a/src/main/java/org/baygw/control/Main.java
+++ b/src/main/java/org/baygw/control/Main.java
@@ -2,93 +2,113 @@
 
 import java.nio.file.Path;
 import java.util.Locale;
-import java.util.concurrent.Callable;
 import org.baygw.control.config.Settings;
 import org.baygw.control.config.SettingsReader;
 import org.baygw.control.net.EventLoop;
 import org.baygw.control.net.SelfCheck;
 import org.slf4j.LoggerFactory;
 import picocli.CommandLine;
-import picocli.CommandLine.Command;
-import picocli.CommandLine.Option;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Model.OptionSpec;
 
 /** The command line. */
-@Command(
-    name = "baygw",
-    mixinStandardHelpOptions = true,
-    versionProvider = Main.Version.class,
-    description = "A controller of the baygw cluster scheduler. Runs until it is killed.",
-    footer = {"", "LOG_LEVEL: error, info (default) or debug; the log goes to standard error."})
-public final class Main implements Callable<Integer> {
+public final class Main {
   private static final int BAD_USAGE = 2;
+  private static final String CONFIG = "--config";
+  private static final String SELF_CHECK = "--self-check";
 
-  @Option(
-      names = "--config",
-      paramLabel = "FILE",
-      description = "The platform's settings file (TOML).")
-  private Path config;
+  private Main() {}
 
-  @Option(
-      names = "--self-check",
-      description =
-          "Start on loopback, answer one request, and end: shows that the program runs here.")
-  private boolean selfCheck;
+  public static void main(String[] args) throws Exception {
+    setUpLog();
+    CommandLine line = new CommandLine(command());
+    CommandLine.ParseResult parsed;
+    try {
+      parsed = line.parseArgs(args);
+    } catch (CommandLine.ParameterException e) {
+      throw exit(BAD_USAGE, "baygw: " + e.getMessage().replace('\n', ' '));
+    }
+    if (parsed.isUsageHelpRequested()) {
+      line.usage(System.out);
+    } else if (parsed.isVersionHelpRequested()) {
+      System.out.println("baygw " + version());
+    } else if (parsed.hasMatchedOption(SELF_CHECK)) {
+      System.exit(SelfCheck.run() ? 0 : 1);
+    } else if (!parsed.hasMatchedOption(CONFIG)) {
+      throw exit(BAD_USAGE, "baygw: --config FILE is missing; see --help");
+    } else {
+      serve(parsed.matchedOptionValue(CONFIG, (Path) null));
+    }
+  }
+
+  /** Built by hand: reading annotations would take a third of a controller's start. */
+  private static CommandSpec command() {
+    CommandSpec spec = CommandSpec.create().name("baygw");
+    spec.usageMessage()
+        .description("A controller of the baygw cluster scheduler. Runs until it is killed.")
+        .footer("", "LOG_LEVEL: error, info (default) or debug; the log goes to standard error.");
+    spec.addOption(
+        OptionSpec.builder(CONFIG)
+            .paramLabel("FILE")
+            .type(Path.class)
+            .description("The platform's settings file (TOML).")
+            .build());
+    spec.addOption(
+        OptionSpec.builder(SELF_CHECK)
+            .type(boolean.class)
+            .description(
+                "Start on loopback, answer one request, and end: shows that the program runs here.")
+            .build());
+    spec.addOption(
+        OptionSpec.builder("-h", "--help")
+            .type(boolean.class)
+            .usageHelp(true)
+            .description("Show this help message and exit.")
+            .build());
+    spec.addOption(
+        OptionSpec.builder("-V", "--version")
+            .type(boolean.class)
+            .versionHelp(true)
+            .description("Print version information and exit.")
+            .build());
+    return spec;
+  }
 
   /** The version from the jar's manifest. */
-  static final class Version implements CommandLine.IVersionProvider {
-    @Override
-    public String[] getVersion() {
-      String v = Main.class.getPackage().getImplementationVersion();
-      return new String[] {"baygw " + (v == null ? "(unpacked)" : v)};
-    }
+  private static String version() {
+    String version = Main.class.getPackage().getImplementationVersion();
+    return version == null ? "(unpacked)" : version;
   }
 
-  public static void main(String[] args) {
+  private static void setUpLog() {
     String level = System.getenv().getOrDefault("LOG_LEVEL", "info").toLowerCase(Locale.ROOT);
     if (!level.equals("error") && !level.equals("info") && !level.equals("debug")) {
-      System.err.println("LOG_LEVEL: must be error, info or debug");
-      System.exit(BAD_USAGE);
+      throw exit(BAD_USAGE, "LOG_LEVEL: must be error, info or debug");
     }
     System.setProperty("org.slf4j.simpleLogger.defaultLogLevel", level);
     System.setProperty(
         "org.slf4j.simpleLogger.log.io.netty", level.equals("debug") ? "info" : level);
     System.setProperty("org.slf4j.simpleLogger.showThreadName", "false");
     System.setProperty("org.slf4j.simpleLogger.showShortLogName", "true");
-    int status =
-        new CommandLine(new Main())
-            .setParameterExceptionHandler(
-                (e, a) -> {
-                  System.err.println("baygw: " + e.getMessage().replace('\n', ' '));
-                  return BAD_USAGE;
-                })
-            .execute(args);
-    if (status != RUNS) {
-      System.exit(status);
-    }
   }
 
-  /** Not an exit status: the event loop goes on after main has returned. */
-  private static final int RUNS = -1;
-
-  @Override
-  public Integer call() throws Exception {
-    if (selfCheck) {
-      return SelfCheck.run() ? 0 : 1;
-    }
-    if (config == null) {
-      System.err.println("baygw: --config FILE is missing; see --help");
-      return BAD_USAGE;
-    }
+  /** Starts a controller; its event loop goes on after this has returned. */
+  private static void serve(Path config) throws InterruptedException {
     Settings settings;
     try {
       settings = SettingsReader.read(config);
     } catch (SettingsReader.BadSettings e) {
-      System.err.println("baygw: " + e.getMessage());
-      return BAD_USAGE;
+      throw exit(BAD_USAGE, "baygw: " + e.getMessage());
     }
     new EventLoop(settings).start();
     LoggerFactory.getLogger(Main.class)
         .info("{} listens on port {}", settings.label(), settings.listen().port());
-    return RUNS;
+  }
+
+  /** Ends the program; declared to return so that the compiler knows that nothing follows. */
+  private static RuntimeException exit(int status, String message) {
+    System.err.println(message);
+    System.exit(status);
+    return new IllegalStateException("the program goes on after its end");
   }
 }
--- a/src/main/java/org/baygw/control/admin/Admin.java
+++ b/src/main/java/org/baygw/control/admin/Admin.java
@@ -116,7 +116,7 @@
   }
 
   private void change(long request, byte[] body) {
-    JsonNode n = Json.parse(body);
+    JsonNode n = Json.parseStrict(body);
     if (!n.isObject()) {
       error(request, 400, "body: not a JSON object");
       return;
--- a/src/main/java/org/baygw/control/config/Settings.java
+++ b/src/main/java/org/baygw/control/config/Settings.java
@@ -23,7 +23,7 @@
     WorkerTimes workers,
     StateLimits state,
     CloudLimits cloud,
-    int maxConnections) {
+    Resources resources) {
 
   /** Host and port. */
   public record Endpoint(String host, int port) {}
@@ -86,6 +86,29 @@
   /** What the cloud takes. */
   public record CloudLimits(double rps, double listLagS) {}
 
+  /**
+   * What this controller has of its machine.
+   *
+   * @param cpuShare of one core
+   */
+  public record Resources(double cpuShare, int maxConnections) {
+    /**
+     * ms between two turns of work that comes again and again, so that it takes no more than a
+     * share of what the processor gives.
+     *
+     * @param costMs what one turn takes on a whole core
+     */
+    public long periodMs(double costMs, double share, long leastMs, long mostMs) {
+      return Math.max(leastMs, Math.min(mostMs, Math.round(costMs / (share * cpuShare))));
+    }
+  }
+
+  /** ms after which the core looks at what there is to do, if nothing made it do so before. */
+  public long tickMs() {
+    return resources.periodMs(
+        Constants.TICK_COST_MS, Constants.TICK_SHARE, Constants.TICK_MS, Constants.TICK_MOST_MS);
+  }
+
   public Team team(String name) {
     for (Team t : teams) {
       if (t.name().equals(name)) {
--- a/src/main/java/org/baygw/control/config/SettingsReader.java
+++ b/src/main/java/org/baygw/control/config/SettingsReader.java
@@ -1,8 +1,9 @@
 package org.baygw.control.config;
 
+import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.dataformat.toml.TomlMapper;
+import com.fasterxml.jackson.dataformat.toml.TomlFactory;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -10,6 +11,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import org.baygw.control.core.Json;
 
 /** Reads the platform's file. Unknown fields are ignored; a bad one is named. */
 public final class SettingsReader {
@@ -33,12 +35,7 @@
   }
 
   public static Settings parse(String text) throws BadSettings {
-    JsonNode root;
-    try {
-      root = new TomlMapper().readTree(text);
-    } catch (JsonProcessingException e) {
-      throw new BadSettings("config: not TOML: " + e.getOriginalMessage());
-    }
+    JsonNode root = readToml(text);
     JsonNode p = root.path("settings");
     List<Settings.Peer> peers = new ArrayList<>();
     Set<String> labels = new HashSet<>();
@@ -119,7 +116,19 @@
             (int) number(s, "txn_ops", "settings.state.", 4)),
         new Settings.CloudLimits(
             positive(c, "rps", "settings.cloud."), positive(c, "list_lag_s", "settings.cloud.")),
-        (int) number(r, "max_connections", "settings.resources.", 16));
+        new Settings.Resources(
+            r.has("cpu_share") ? positive(r, "cpu_share", "settings.resources.") : 1,
+            (int) number(r, "max_connections", "settings.resources.", 16)));
+  }
+
+  private static JsonNode readToml(String text) throws BadSettings {
+    try (JsonParser parser = new TomlFactory().createParser(text)) {
+      return Json.read(parser);
+    } catch (JsonProcessingException e) {
+      throw new BadSettings("config: not TOML: " + e.getOriginalMessage());
+    } catch (IOException e) {
+      throw new BadSettings("config: cannot be read");
+    }
   }
 
   private static String text(JsonNode n, String field, String under) throws BadSettings {
--- a/src/main/java/org/baygw/control/fleet/Fleet.java
+++ b/src/main/java/org/baygw/control/fleet/Fleet.java
@@ -40,7 +40,7 @@
     this.scheduler = scheduler;
     this.inventory = new CloudInventory(clock, store, view, membership, cloud);
     this.rentals = new Rentals(clock, settings, store, view, cloud, inventory);
-    this.returns = new Returns(clock, store, view, membership, cloud, inventory);
+    this.returns = new Returns(clock, settings, store, view, membership, cloud, inventory);
     this.planner = new RentalPlanner(view, inventory, rentals, returns);
     this.spare = new SpareMachines(clock, settings, view, membership, scheduler, returns);
   }
--- a/src/main/java/org/baygw/control/fleet/Returns.java
+++ b/src/main/java/org/baygw/control/fleet/Returns.java
@@ -4,12 +4,14 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import org.baygw.control.Constants;
 import org.baygw.control.cloud.Cloud;
+import org.baygw.control.config.Settings;
 import org.baygw.control.core.Clock;
 import org.baygw.control.core.Json;
 import org.baygw.control.membership.Membership;
@@ -51,11 +53,15 @@
   /** Machines given back that the cloud may still list. */
   private final Set<String> returned = new HashSet<>();
 
+  /** Machines that one partition's list of leaving machines has room for. */
+  private final int mostListed;
+
   private boolean returning;
   private long nextReturn;
 
   Returns(
       Clock clock,
+      Settings settings,
       Store store,
       StateCache view,
       Membership membership,
@@ -67,6 +73,7 @@
     this.membership = membership;
     this.cloud = cloud;
     this.inventory = inventory;
+    this.mostListed = (int) (settings.state().valueKb() * 1024 / Constants.DRAIN_ENTRY_BYTES);
   }
 
   /** Begins anew: this controller has become the leader under this claim. */
@@ -110,10 +117,8 @@
    */
   private void list(Partition part) {
     Map<String, StateCache.Drain> next = new LinkedHashMap<>(view.drains(part));
-    Map<String, StateCache.Drain> put = asked.remove(part);
-    if (put != null) {
-      put.forEach(next::putIfAbsent);
-    }
+    Map<String, StateCache.Drain> put = takeAsked(part, next.size());
+    put.forEach(next::putIfAbsent);
     // That the cloud has taken a machine back is durable before anyone acts on it.
     next.replaceAll((m, d) -> gone.contains(m) ? StateCache.Drain.GONE : d);
     next.entrySet()
@@ -124,9 +129,7 @@
     Set<String> cordons = new HashSet<>(view.cordons);
     cordons.removeIf(m -> next.containsKey(m) || !view.drains(part).containsKey(m));
     if (next.equals(view.drains(part))) {
-      if (put != null) {
-        draining.removeAll(put.keySet());
-      }
+      draining.removeAll(put.keySet());
       return;
     }
     ObjectNode v = Json.object();
@@ -141,12 +144,26 @@
         Constants.STATE_TIMEOUT_MS,
         ok -> {
           busyLists.remove(part);
-          if (put != null) {
-            draining.removeAll(put.keySet());
-          }
+          draining.removeAll(put.keySet());
         });
   }
 
+  /**
+   * Takes as much of what was asked of a partition as its list, which is one value of the state
+   * service, has room for; the rest follows when machines have come off it.
+   */
+  private Map<String, StateCache.Drain> takeAsked(Partition part, int listed) {
+    Map<String, StateCache.Drain> waiting = asked.getOrDefault(part, Map.of());
+    Map<String, StateCache.Drain> taken = new LinkedHashMap<>();
+    for (Iterator<Map.Entry<String, StateCache.Drain>> it = waiting.entrySet().iterator();
+        it.hasNext() && listed + taken.size() < mostListed; ) {
+      Map.Entry<String, StateCache.Drain> entry = it.next();
+      taken.put(entry.getKey(), entry.getValue());
+      it.remove();
+    }
+    return taken;
+  }
+
   /** Whether a machine that was to go because it was idle got a task before that was durable. */
   private boolean cameToUse(Partition part, String name, StateCache.Drain why) {
     return why == StateCache.Drain.IDLE
--- a/src/main/java/org/baygw/control/jobs/Jobs.java
+++ b/src/main/java/org/baygw/control/jobs/Jobs.java
@@ -97,7 +97,7 @@
   }
 
   private void submit(long request, byte[] body) {
-    JsonNode n = Json.parse(body);
+    JsonNode n = Json.parseStrict(body);
     if (!n.isObject()) {
       error(request, 400, "body: not a JSON object");
       return;
--- a/src/main/java/org/baygw/control/model/PartitionRecord.java
+++ b/src/main/java/org/baygw/control/model/PartitionRecord.java
@@ -12,7 +12,7 @@
  * A page of a partition's record: the tasks that may be on each of its machines, the machines that
  * are not fit for more, and the tasks that have ended there but stand in their job's progress
  * still. Lists of tasks are kept as text, so that a reader looks only into those that changed. How
- * many pages the record has stands on each of them, and is read from the first.
+ * many pages the record has stands on the first of them; that of the others has no meaning.
  */
 public record PartitionRecord(
     int pages,
@@ -26,24 +26,29 @@
 
   private static final HashFunction PAGES = Hashing.murmur3_32_fixed(1);
 
-  /** An empty page of a record of so many, to be filled. */
-  public static PartitionRecord page(int pages) {
-    return new PartitionRecord(
-        pages,
-        new LinkedHashMap<>(),
-        new LinkedHashMap<>(),
-        new LinkedHashMap<>(),
-        new LinkedHashMap<>());
+  /** This page, shared, as one of a record of so many. */
+  public PartitionRecord withPages(int count) {
+    return new PartitionRecord(count, on, conditions, done, back);
   }
 
   /**
-   * The page that a machine stands on. With twice the pages a machine stays where it is or goes to
-   * the page that came with its own. The hash is not the one that chose the partition.
+   * The page that a machine stands on, by linear hashing: pages are split one at a time, in their
+   * order, and a machine stays where it is or goes to the page that came of its own. The hash is
+   * not the one that chose the partition.
    */
   public static int pageOf(String machine, int pages) {
-    return pages == 1
-        ? 0
-        : Math.floorMod(PAGES.hashString(machine, StandardCharsets.UTF_8).asInt(), pages);
+    if (pages == 1) {
+      return 0;
+    }
+    int hash = PAGES.hashString(machine, StandardCharsets.UTF_8).asInt();
+    int round = Integer.highestOneBit(pages);
+    int page = Math.floorMod(hash, 2 * round);
+    return page < pages ? page : Math.floorMod(hash, round);
+  }
+
+  /** The page that is split next, into itself and the page after the last. */
+  public static int nextSplit(int pages) {
+    return pages - Integer.highestOneBit(pages);
   }
 
   /** A copy to be changed. */
--- a/src/main/java/org/baygw/control/net/EventLoop.java
+++ b/src/main/java/org/baygw/control/net/EventLoop.java
@@ -47,6 +47,8 @@
   private final HttpClient client = new HttpClient(loop);
   private final Map<Long, Pending> pending = new HashMap<>();
   private long requests;
+  private boolean stepDue;
+  private long lastStep;
 
   public EventLoop(Settings settings) {
     this.settings = settings;
@@ -57,12 +59,38 @@
   public void start() throws InterruptedException {
     bind(settings.listen(), core::request);
     bind(settings.peerListen(), core::peerRequest);
-    loop.next()
-        .scheduleWithFixedDelay(
-            () -> safely(() -> run(core.tick(now(), wall()))),
-            0,
-            Constants.TICK_MS,
-            TimeUnit.MILLISECONDS);
+    loop.next().execute(this::tick);
+  }
+
+  /**
+   * Has the core take a step if none was taken for a while, and comes again when the next is due.
+   */
+  private void tick() {
+    if (now() - lastStep >= settings.tickMs()) {
+      step();
+    }
+    long left = Math.max(1, lastStep + settings.tickMs() - now());
+    loop.next().schedule(this::tick, left, TimeUnit.MILLISECONDS);
+  }
+
+  private void step() {
+    stepDue = false;
+    lastStep = now();
+    safely(() -> run(core.tick(lastStep, wall())));
+  }
+
+  /** The core takes a step once all that has come by now is read: one for many inputs. */
+  private void stepSoon() {
+    if (!stepDue) {
+      stepDue = true;
+      loop.next().execute(this::stepIfDue);
+    }
+  }
+
+  private void stepIfDue() {
+    if (stepDue) {
+      step();
+    }
   }
 
   /** Ends the event loop and waits for it, so that nothing runs when the program ends. */
@@ -118,8 +146,10 @@
       if (e instanceof Outbox.Call c) {
         client.call(
             c,
-            (status, body) ->
-                safely(() -> run(core.outcome(now(), wall(), c.then(), status, body))));
+            (status, body) -> {
+              safely(() -> run(core.outcome(now(), wall(), c.then(), status, body)));
+              stepSoon();
+            });
       } else if (e instanceof Outbox.Answer a) {
         answer(a);
       }
--- a/src/main/java/org/baygw/control/quota/FreeCapacity.java
+++ b/src/main/java/org/baygw/control/quota/FreeCapacity.java
@@ -53,7 +53,7 @@
   }
 
   private List<MachineCapacity> machines(Partition part, CapacityCache cache) {
-    int pages = view.pages(part);
+    int pages = view.pages().count(part);
     Set<Integer> fullPages = fullPages(part, pages);
     List<MachineCapacity> list = new ArrayList<>();
     for (String name : view.machinesOf(part)) {
@@ -75,7 +75,7 @@
     int limitBytes = (int) (settings.state().valueKb() * 1024 * Constants.RECORD_FULL);
     Set<Integer> full = new HashSet<>();
     for (int i = 0; i < pages; i++) {
-      if (view.record(part, i).size() > limitBytes) {
+      if (view.pages().bytes(part, i) > limitBytes) {
         full.add(i);
       }
     }
--- a/src/main/java/org/baygw/control/quota/ProgressFolding.java
+++ b/src/main/java/org/baygw/control/quota/ProgressFolding.java
@@ -54,9 +54,9 @@
   private Set<String> jobsInLargeRecords() {
     Set<String> jobs = new LinkedHashSet<>();
     for (Partition part : membership.partitions()) {
-      for (int i = 0; i < view.pages(part); i++) {
-        PartitionRecord page = view.record(part, i);
-        if (page.endedSize() > limitBytes) {
+      for (int i = 0; i < view.pages().count(part); i++) {
+        if (view.pages().endedBytes(part, i) > limitBytes) {
+          PartitionRecord page = view.pages().get(part, i);
           jobs.addAll(page.done().keySet());
           jobs.addAll(page.back().keySet());
         }
--- a/src/main/java/org/baygw/control/store/StateCache.java
+++ b/src/main/java/org/baygw/control/store/StateCache.java
@@ -12,7 +12,6 @@
 import java.util.SortedMap;
 import java.util.TreeMap;
 import java.util.TreeSet;
-import java.util.function.Function;
 import org.baygw.control.Constants;
 import org.baygw.control.model.Job;
 import org.baygw.control.model.Machine;
@@ -91,7 +90,7 @@
   private final Map<String, Progress> written = new HashMap<>();
 
   private final Map<Partition, Set<String>> machinesOf = new HashMap<>();
-  private final Map<Partition, TreeMap<Integer, PartitionRecord>> records = new HashMap<>();
+  private final PartitionPages pages = new PartitionPages();
   private final Map<String, Map<TaskId, Integer>> on = new HashMap<>();
 
   /** By job and page of a partition's record. */
@@ -198,34 +197,15 @@
     }
   }
 
-  /** How many pages a partition's record has. */
-  public int pages(Partition p) {
-    return record(p, 0).pages();
-  }
-
-  public PartitionRecord record(Partition p, int page) {
-    return records.getOrDefault(p, NO_PAGES).getOrDefault(page, PartitionRecord.EMPTY);
+  /** The partitions' records. */
+  public PartitionPages pages() {
+    return pages;
   }
 
   private String condition(Partition p, String machine) {
-    return onPages(p, r -> r.conditions().get(machine));
-  }
-
-  /**
-   * What any page has; a machine stands on one only, but for the middle of reading all keys anew.
-   */
-  private String onPages(Partition p, Function<PartitionRecord, String> what) {
-    for (PartitionRecord r : records.getOrDefault(p, NO_PAGES).values()) {
-      String found = what.apply(r);
-      if (found != null) {
-        return found;
-      }
-    }
-    return null;
+    return pages.find(p, r -> r.conditions().get(machine));
   }
 
-  private static final TreeMap<Integer, PartitionRecord> NO_PAGES = new TreeMap<>();
-
   /** The names of a partition's machines. */
   public Set<String> machinesOf(Partition p) {
     return machinesOf.getOrDefault(p, Set.of());
@@ -465,12 +445,11 @@
   }
 
   private void recordChanged(Partition part, int page, PartitionRecord next) {
-    PartitionRecord old = record(part, page);
-    records.computeIfAbsent(part, k -> new TreeMap<>()).put(page, next);
+    PartitionRecord old = pages.put(part, page, next);
     for (String machine : old.on().keySet()) {
       if (!next.on().containsKey(machine)) {
         // Where the record was given more pages the machine may stand on another one now.
-        tasksChanged(machine, PartitionRecord.tasks(onPages(part, r -> r.on().get(machine))));
+        tasksChanged(machine, PartitionRecord.tasks(pages.find(part, r -> r.on().get(machine))));
       }
     }
     next.on()
--- a/src/main/java/org/baygw/control/workers/CancellationDeadline.java
+++ b/src/main/java/org/baygw/control/workers/CancellationDeadline.java
@@ -55,6 +55,11 @@
   private boolean returning;
   private long nextLook;
 
+  /**
+   * Since when the copy of the state service has been current at every look; 0 before the first.
+   */
+  private long currentSince;
+
   CancellationDeadline(
       Clock clock,
       Settings settings,
@@ -81,6 +86,9 @@
       return;
     }
     nextLook = clock.now() + Constants.LOOK_ALL_MS;
+    if (currentSince == 0 || !watermark.copyIsCurrent()) {
+      currentSince = clock.now();
+    }
     List<String> due = look();
     // Another owner may have proved the tasks gone and put others there: then it is not ours to
     // end.
@@ -133,15 +141,22 @@
     if (owned.apply(machine) != null) {
       // A new owner's workers need a moment to show that their tasks have ended.
       return share > Constants.CANCELLATION_LAST_SHARE
-          || share > Constants.CANCELLATION_OWNER_SHARE
-              && knownMs > cancelMs * Constants.CANCELLATION_NOTICE_SHARE;
+          || share > Constants.CANCELLATION_OWNER_SHARE && knownMs > noticeMs();
     }
     if (outage) {
       // A living owner may have proof that it cannot write.
       return share > Constants.CANCELLATION_OWNERLESS_SHARE && ownerless(machine);
     }
     // What the owner has proved would be on record, if it lives; else nobody may be there to do it.
-    return share > Constants.CANCELLATION_LAST_SHARE && watermark.copyIsCurrent();
+    // After an outage it needs a moment to write that, or machines that work would go back.
+    return share > Constants.CANCELLATION_LAST_SHARE
+        && watermark.copyIsCurrent()
+        && clock.now() - currentSince > noticeMs();
+  }
+
+  /** ms within which an owner that lives has proof that tasks have ended, and has it on record. */
+  private double noticeMs() {
+    return cancelMs * Constants.CANCELLATION_NOTICE_SHARE;
   }
 
   /** The share of the time for a cancellation that has passed, at most. */
--- a/src/main/java/org/baygw/control/workers/PartitionWriter.java
+++ b/src/main/java/org/baygw/control/workers/PartitionWriter.java
@@ -75,11 +75,15 @@
   private long nextTry;
   private long seenChanges = -1;
 
-  /** One write in the making: pages of the record as they are to be, and what goes with them. */
+  /**
+   * One write in the making: pages of the record as they are to be, and what goes with them. Only
+   * the pages that it asks for are copied, so that a write costs what it changes.
+   */
   private final class Draft implements FirstFitPlacer.Space {
     final Txn txn = new Txn().when(Keys.claim(part.toString()), claim);
-    final List<PartitionRecord> next = new ArrayList<>();
-    final List<Integer> sizes = new ArrayList<>();
+    final int pages = view.pages().count(part);
+    private final Map<Integer, PartitionRecord> copies = new HashMap<>();
+    private final Map<Integer, Integer> sizes = new HashMap<>();
     final Set<Integer> touched = new LinkedHashSet<>();
     final Map<String, Map<TaskId, Integer>> lists = new LinkedHashMap<>();
     final Map<Integer, Map<String, TreeMap<Integer, Integer>>> done = new HashMap<>();
@@ -89,26 +93,41 @@
     final List<Runnable> after = new ArrayList<>();
     PartitionWriter target;
 
-    Draft() {
-      for (int i = 0; i < view.pages(part); i++) {
-        PartitionRecord r = view.record(part, i).copy();
-        prune(r);
-        next.add(r);
-        sizes.add(r.size());
+    int page(String machine) {
+      return PartitionRecord.pageOf(machine, pages);
+    }
+
+    /** The page as it is to be, without what its jobs' progress has taken over. */
+    PartitionRecord copy(int page) {
+      PartitionRecord copy = copies.get(page);
+      if (copy == null) {
+        copy = view.pages().get(part, page).copy();
+        prune(copy);
+        copies.put(page, copy);
       }
+      return copy;
     }
 
-    int page(String machine) {
-      return PartitionRecord.pageOf(machine, next.size());
+    /** Bytes of a page, with what this write adds to it. */
+    int size(int page) {
+      Integer known = sizes.get(page);
+      if (known == null) {
+        known = view.pages().bytes(part, page);
+        if (known > limit() * Constants.RECORD_FULL) {
+          known = copy(page).size(); // some of it may be forgotten by now
+        }
+        sizes.put(page, known);
+      }
+      return known;
     }
 
     /** The page with the fewest bytes, of those that are to be written if there are any. */
     int emptiest() {
       int best = -1;
-      for (int i = 0; i < next.size(); i++) {
-        if ((touched.isEmpty() || touched.contains(i))
-            && (best < 0 || sizes.get(i) < sizes.get(best))) {
-          best = i;
+      for (int page = 0; page < pages; page++) {
+        if ((touched.isEmpty() || touched.contains(page))
+            && (best < 0 || size(page) < size(best))) {
+          best = page;
         }
       }
       return best;
@@ -127,11 +146,11 @@
       if (touched.contains(page)) {
         return true;
       }
-      int bytes = sizes.get(page);
-      for (int t : touched) {
-        bytes += sizes.get(t);
+      int bytes = size(page);
+      for (int other : touched) {
+        bytes += size(other);
       }
-      return touched.size() < settings.state().txnOps() * Constants.RECORD_WRITE_SHARE
+      return touched.size() < mostPagesWritten()
           && bytes < Constants.MAX_BODY * Constants.RECORD_WRITE_SHARE
           && writes() < settings.state().txnOps();
     }
@@ -140,17 +159,22 @@
       touched.add(page);
     }
 
+    /** From this write on the record has so many pages; the first page says so. */
+    void setPages(int count) {
+      copies.put(0, copy(0).withPages(count));
+    }
+
     @Override
     public boolean open(String machine) {
       int page = page(machine);
-      return sizes.get(page) < limit() * Constants.RECORD_FULL && touchable(page);
+      return size(page) < limit() * Constants.RECORD_FULL && touchable(page);
     }
 
     @Override
     public boolean take(String machine, int bytes) {
       int page = page(machine);
       boolean fresh = touched.add(page);
-      sizes.set(page, sizes.get(page) + bytes);
+      sizes.put(page, size(page) + bytes);
       return fresh || !open(machine);
     }
 
@@ -172,25 +196,31 @@
     Txn seal() {
       lists.forEach(
           (machine, tasks) -> {
-            PartitionRecord r = next.get(page(machine));
+            PartitionRecord r = copy(page(machine));
             if (tasks.isEmpty()) {
               r.on().remove(machine);
             } else {
               r.on().put(machine, PartitionRecord.tasks(tasks));
             }
           });
-      done.forEach((page, m) -> m.forEach((job, l) -> merge(next.get(page).done(), job, l)));
-      back.forEach((page, m) -> m.forEach((job, l) -> merge(next.get(page).back(), job, l)));
+      done.forEach((page, m) -> m.forEach((job, l) -> merge(copy(page).done(), job, l)));
+      back.forEach((page, m) -> m.forEach((job, l) -> merge(copy(page).back(), job, l)));
       // The first page tells how many there are, and so where each machine stands.
       txn.when(Keys.record(part, 0), view.stamp(Keys.record(part, 0)));
       for (int page : touched) {
         String key = Keys.record(part, page);
-        txn.when(key, view.stamp(key)).put(key, Records.record(next.get(page)));
+        txn.when(key, view.stamp(key)).put(key, Records.record(copy(page)));
       }
       return txn;
     }
   }
 
+  /** Pages that go into one write at most: the rest of its changes is for jobs and moves. */
+  private int mostPagesWritten() {
+    int most = (int) Math.ceil(settings.state().txnOps() * Constants.RECORD_WRITE_SHARE);
+    return Math.min(most, view.pages().count(part));
+  }
+
   PartitionWriter(
       Partition part,
       long claim,
@@ -234,7 +264,8 @@
     if (dirty.isEmpty() && !place) {
       return;
     }
-    long pace = Constants.RECORD_PACE_MS + Constants.RECORD_PACE_MS_A_PAGE * (view.pages(part) - 1);
+    long pace =
+        Constants.RECORD_PACE_MS + Constants.RECORD_PACE_MS_A_PAGE * (mostPagesWritten() - 1);
     if (store.scarce() && now < lastWrite + pace) {
       return; // what ends meanwhile shares the write
     }
@@ -281,14 +312,14 @@
 
   private Draft make() {
     moving.clear();
-    Draft d = new Draft();
-    if (crowded(d)) {
-      divide(d);
-      return d;
+    Draft split = split();
+    if (split != null) {
+      return split;
     }
+    Draft d = new Draft();
     for (String name : List.copyOf(dirty)) {
       int page = d.page(name);
-      if (d.sizes.get(page) < limit() - Constants.RECORD_SPARE_BYTES
+      if (d.size(page) < limit() - Constants.RECORD_SPARE_BYTES
           && d.touchable(page)
           && d.handled.size() < Constants.MACHINES_PER_WRITE) {
         dirty.remove(name);
@@ -307,41 +338,63 @@
     return d;
   }
 
-  /** Whether the record needs more pages, and one write can still give them to it. */
-  private boolean crowded(Draft d) {
-    int sum = 0;
-    boolean crowded = false;
-    for (int i = 0; i < d.next.size(); i++) {
-      sum += d.sizes.get(i);
-      crowded |= d.next.get(i).onSize() > limit() * Constants.RECORD_CROWDED;
-    }
-    return crowded
-        && 2 * d.next.size() <= settings.state().txnOps()
-        && sum < Constants.MAX_BODY * Constants.RECORD_WRITE_SHARE;
-  }
-
   /**
-   * Doubles the record's pages, all of them in one write under the claim: whoever reads the record
-   * finds each machine where the number of pages that it reads says, before, after and whenever
-   * this controller ends. Nothing else goes with it.
+   * Splits pages of a record of which one is crowded, in their order, as many as one write takes
+   * until there are twice as many; null where none is. All pages that change are in one write under
+   * the claim, with the first page's number of pages: whoever reads the record finds each machine
+   * where that number says, before, after and whenever this controller ends. Nothing else goes with
+   * it. There is no bound on the number of pages.
    */
-  private void divide(Draft d) {
-    int pages = 2 * d.next.size();
-    List<PartitionRecord> old = List.copyOf(d.next);
-    d.next.clear();
-    for (int i = 0; i < pages; i++) {
-      d.next.add(PartitionRecord.page(pages));
-      d.touch(i);
-    }
-    for (int i = 0; i < old.size(); i++) {
-      PartitionRecord r = old.get(i);
-      r.on().forEach((m, text) -> d.next.get(d.page(m)).on().put(m, text));
-      r.conditions().forEach((m, text) -> d.next.get(d.page(m)).conditions().put(m, text));
-      d.next.get(i).done().putAll(r.done());
-      d.next.get(i).back().putAll(r.back());
+  private Draft split() {
+    int before = view.pages().count(part);
+    boolean crowded = false;
+    for (int i = 0; i < before && !crowded; i++) {
+      crowded = view.pages().onBytes(part, i) > limit() * Constants.RECORD_CROWDED;
+    }
+    if (!crowded) {
+      return null;
+    }
+    Draft d = new Draft();
+    d.touch(0);
+    int after = before;
+    int bytes = d.size(0);
+    while (after < 2 * before) {
+      int page = PartitionRecord.nextSplit(after);
+      int writes = d.touched.contains(page) ? 1 : 2;
+      bytes += d.touched.contains(page) ? 0 : d.size(page);
+      if (after > before
+          && (d.writes() + writes > settings.state().txnOps()
+              || bytes > Constants.MAX_BODY * Constants.RECORD_WRITE_SHARE)) {
+        break;
+      }
+      d.touch(page);
+      d.touch(after);
+      moveTo(d.copy(page), d.copy(after), after, after + 1);
+      after++;
     }
+    d.setPages(after);
     d.seal();
-    LOG.info("{} gets {} pages", part, pages);
+    LOG.info("{} gets {} pages", part, after);
+    return d;
+  }
+
+  /** Moves the machines that stand on a new page, of so many, over to it. */
+  private static void moveTo(PartitionRecord from, PartitionRecord to, int page, int pages) {
+    moveTo(from.on(), to.on(), page, pages);
+    moveTo(from.conditions(), to.conditions(), page, pages);
+  }
+
+  private static void moveTo(
+      Map<String, String> from, Map<String, String> to, int page, int pages) {
+    from.entrySet()
+        .removeIf(
+            entry -> {
+              boolean moves = PartitionRecord.pageOf(entry.getKey(), pages) == page;
+              if (moves) {
+                to.put(entry.getKey(), entry.getValue());
+              }
+              return moves;
+            });
   }
 
   private static void merge(Map<String, String> texts, String job, TreeMap<Integer, Integer> more) {
@@ -388,7 +441,7 @@
         }
       }
     }
-    Map<String, String> conditions = d.next.get(d.page(name)).conditions();
+    Map<String, String> conditions = d.copy(d.page(name)).conditions();
     if (!Objects.equals(condition, conditions.get(name))) {
       d.touch(d.page(name));
       if (condition == null) {
@@ -435,10 +488,10 @@
     if (there == this) {
       d.list(name).put(t, attempt);
     } else {
-      int page = PartitionRecord.pageOf(name, view.pages(to.part()));
+      int page = PartitionRecord.pageOf(name, view.pages().count(to.part()));
       String first = Keys.record(to.part(), 0);
       String key = Keys.record(to.part(), page);
-      PartitionRecord next = view.record(to.part(), page).copy();
+      PartitionRecord next = view.pages().get(to.part(), page).copy();
       Map<TaskId, Integer> on = new LinkedHashMap<>(view.on(name));
       on.put(t, attempt);
       next.on().put(name, PartitionRecord.tasks(on));
@@ -482,14 +535,14 @@
         d.txn.delete(Keys.progress(job, c));
       }
       d.done.values().forEach(m -> m.remove(job));
-      d.next.forEach(r -> r.done().remove(job));
-      d.next.forEach(r -> r.back().remove(job));
+      d.touched.forEach(page -> d.copy(page).done().remove(job));
+      d.touched.forEach(page -> d.copy(page).back().remove(job));
     }
   }
 
   private void place(Draft d) {
     int conditions =
-        settings.state().txnOps() * 4 - d.txn.conditions() - d.next.size() - OTHER_CONDITIONS;
+        settings.state().txnOps() * 4 - d.txn.conditions() - mostPagesWritten() - OTHER_CONDITIONS;
     FirstFitPlacer.Plan plan = placer.plan(part, claim, moving, conditions, d);
     plan.back()
         .forEach(
--- a/src/main/java/org/baygw/control/workers/WorkerCommands.java
+++ b/src/main/java/org/baygw/control/workers/WorkerCommands.java
@@ -9,6 +9,7 @@
 import org.baygw.control.core.Clock;
 import org.baygw.control.core.Json;
 import org.baygw.control.core.Outbox;
+import org.baygw.control.membership.CancellationWatermark;
 import org.baygw.control.model.Job;
 import org.baygw.control.model.JobSpec;
 import org.baygw.control.model.Machine;
@@ -31,6 +32,7 @@
   private final TerminationEvidence evidence;
   private final FirstFitPlacer placer;
   private final ConsolidationRound rounds;
+  private final CancellationWatermark watermark;
   private final Heard heard;
   private long stalledAt;
   private final Histogram launchMs =
@@ -44,6 +46,7 @@
       TerminationEvidence evidence,
       FirstFitPlacer placer,
       ConsolidationRound rounds,
+      CancellationWatermark watermark,
       Heard heard) {
     this.clock = clock;
     this.out = out;
@@ -52,6 +55,7 @@
     this.evidence = evidence;
     this.placer = placer;
     this.rounds = rounds;
+    this.watermark = watermark;
     this.heard = heard;
   }
 
@@ -163,7 +167,13 @@
     if (completed.size() >= Constants.FORGET_TOGETHER) {
       orders.addAll(completed);
     }
-    if (!a.trusted() || a.leaseOver || a.deaf() || view.drains.containsKey(m.name())) {
+    // Out of touch this owner may not know that a job was cancelled, and a worker that comes with a
+    // new session, its tasks gone with its lease, must not get them by the record once more.
+    if (!watermark.recent()
+        || !a.trusted()
+        || a.leaseOver
+        || a.deaf()
+        || view.drains.containsKey(m.name())) {
       return orders;
     }
     for (Map.Entry<TaskId, Integer> t : m.tasks().entrySet()) {
--- a/src/main/java/org/baygw/control/workers/Workers.java
+++ b/src/main/java/org/baygw/control/workers/Workers.java
@@ -83,7 +83,8 @@
             clock, settings, view, membership, evidence, cloud, watermark, this::owned);
     this.placer = new FirstFitPlacer(clock, settings, view, sessions, rounds);
     this.commands =
-        new WorkerCommands(clock, out, settings, view, evidence, placer, rounds, this::heard);
+        new WorkerCommands(
+            clock, out, settings, view, evidence, placer, rounds, watermark, this::heard);
   }
 
   /** A worker's report. */
--- a/src/test/java/org/baygw/control/model/PartitionRecordTest.java
+++ b/src/test/java/org/baygw/control/model/PartitionRecordTest.java
@@ -16,6 +16,21 @@
     return String.format("n-%06d", i);
   }
 
+  @Test
+  void onePageMoreMovesMachinesOnlyFromThePageThatIsSplit() {
+    for (int pages = 1; pages <= 64; pages++) {
+      int moved = 0;
+      for (int i = 0; i < 2_000; i++) {
+        int before = PartitionRecord.pageOf(machine(i), pages);
+        int after = PartitionRecord.pageOf(machine(i), pages + 1);
+        boolean moves = before == PartitionRecord.nextSplit(pages) && after == pages;
+        assertTrue(after == before || moves, machine(i) + " of " + pages);
+        moved += moves ? 1 : 0;
+      }
+      assertTrue(moved > 0, "nothing on page " + pages);
+    }
+  }
+
   @Test
   void twiceThePagesLeaveAMachineOrMoveItToTheNewHalf() {
     for (int pages = 1; pages <= 32; pages *= 2) {
@@ -45,7 +60,7 @@
 
   @Test
   void aPageIsReadAsItWasWritten() {
-    PartitionRecord r = PartitionRecord.page(4);
+    PartitionRecord r = PartitionRecord.EMPTY.copy().withPages(4);
     r.on().put("n-000001", PartitionRecord.tasks(Map.of(new TaskId("run-1", 3), 2)));
     r.conditions().put("n-000001", "SILENT");
     r.done().put("run-1", "0-2");
--- a/src/test/java/org/baygw/control/sim/CloudStub.java
+++ b/src/test/java/org/baygw/control/sim/CloudStub.java
@@ -5,6 +5,7 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
@@ -13,6 +14,9 @@
 /** The cloud, by its protocol: one machine type of 16 CPUs and 64 GB. */
 final class CloudStub {
   static final String TYPE = "c16";
+  private static final int MOST_LISTED = 500;
+  private static final int MOST_RENTED = 50;
+  private static final int MOST_RETURNED = 100;
 
   private static final class Rented {
     String zone;
@@ -39,6 +43,9 @@
   long bootMs = 8_000;
   int rentals;
 
+  /** The first request that goes over a limit of the protocol, or null. */
+  String malformed;
+
   CloudStub(SimulatedCluster world) {
     this.world = world;
   }
@@ -107,6 +114,11 @@
   }
 
   void handle(String method, String path, JsonNode n, StateServiceStub.Respond respond) {
+    if (n.path("hosts").size() > MOST_RETURNED || n.path("count").asInt() > MOST_RENTED) {
+      malformed = "too many machines at once: " + path;
+      respond.done(400, Json.bytes(Json.object()));
+      return;
+    }
     if (world.now() < outageUntil) {
       respond.done(503, Json.bytes(Json.object().put("error", "trouble")));
     } else if (path.equals("/machine_types")) {
@@ -119,11 +131,21 @@
     } else if (method.equals("POST")) {
       rent(n, respond);
     } else {
-      ObjectNode out = Json.object().put("more", false);
-      ArrayNode a = out.putArray("hosts");
-      listed.values().forEach(a::add);
-      respond.done(200, Json.bytes(out));
+      list(path, respond);
+    }
+  }
+
+  /** A page of the list: the machines after the one that the request names, in their order. */
+  private void list(String path, StateServiceStub.Respond respond) {
+    int at = path.indexOf("after=");
+    String after = at < 0 ? "" : path.substring(at + "after=".length()).split("&")[0];
+    ObjectNode out = Json.object();
+    ArrayNode hosts = out.putArray("hosts");
+    Iterator<JsonNode> rest = listed.tailMap(after, false).values().iterator();
+    while (rest.hasNext() && hosts.size() < MOST_LISTED) {
+      hosts.add(rest.next());
     }
+    respond.done(200, Json.bytes(out.put("more", rest.hasNext())));
   }
 
   private void rent(JsonNode n, StateServiceStub.Respond respond) {
--- a/src/test/java/org/baygw/control/sim/Scenario.java
+++ b/src/test/java/org/baygw/control/sim/Scenario.java
@@ -147,6 +147,9 @@
     if (world.state.malformed != null) {
       failures.add("the state service was asked for " + world.state.malformed);
     }
+    if (world.cloud.malformed != null) {
+      failures.add("the cloud was asked for " + world.cloud.malformed);
+    }
     if (!expectsBroken && !world.checker.broken.isEmpty()) {
       failures.add("broken: " + world.checker.broken);
     }
@@ -451,6 +454,12 @@
     }
   }
 
+  private void atMost(String what, double value, String most) {
+    if (value > Double.parseDouble(most)) {
+      failures.add(value + " " + what + ":\n" + world.work.table());
+    }
+  }
+
   private void expect(String[] w) {
     switch (w[1]) {
       case "done" -> {
@@ -547,6 +556,17 @@
           failures.add("the checker did not see " + w[2] + " but " + world.checker.broken);
         }
       }
+      default -> expectWork(w);
+    }
+  }
+
+  /** What the controllers' cores did, counted: it may not grow unnoticed. */
+  private void expectWork(String[] w) {
+    switch (w[1]) {
+      case "inputs-a-start-at-most" ->
+          atMost("inputs a start", (double) world.work.inputs("") / world.checker.starts, w[2]);
+      case "allocated-kb-a-start-at-most" ->
+          atMost("KB a start", world.work.bytes() / 1024.0 / world.checker.starts, w[2]);
       default -> throw new IllegalArgumentException("no such expectation: " + w[1]);
     }
   }
--- a/src/test/java/org/baygw/control/sim/ScenarioTest.java
+++ b/src/test/java/org/baygw/control/sim/ScenarioTest.java
@@ -11,7 +11,10 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
 
-/** Plays every file under scenarios/. */
+/**
+ * Plays every file under scenarios/, or with {@code -Dscenario=TEXT} those whose names have the
+ * text.
+ */
 final class ScenarioTest {
   static Stream<String> scenarios() throws IOException, URISyntaxException {
     Path dir = Path.of(ScenarioTest.class.getResource("/scenarios").toURI());
@@ -20,6 +23,7 @@
           files
               .filter(Files::isRegularFile)
               .map(f -> dir.relativize(f).toString())
+              .filter(name -> name.contains(System.getProperty("scenario", "")))
               .sorted()
               .toList();
       return names.stream();
--- a/src/test/java/org/baygw/control/sim/SimulatedCluster.java
+++ b/src/test/java/org/baygw/control/sim/SimulatedCluster.java
@@ -41,6 +41,7 @@
 
   final Random random;
   final List<String> zones;
+  final WorkMeter work = new WorkMeter();
   final InvariantChecker checker = new InvariantChecker(this);
   final StateServiceStub state = new StateServiceStub(this);
   final CloudStub cloud = new CloudStub(this);
@@ -62,6 +63,7 @@
   double stateWriteRps = 200;
   double stateValueKb = 8;
   int stateTxnOps = 16;
+  double cpuShare = 1;
   private final PriorityQueue<Event> events =
       new PriorityQueue<>(
           (a, b) ->
@@ -80,6 +82,9 @@
     Controller core;
     int life;
     private long frozenUntil;
+    private boolean stepDue;
+    private long lastStep;
+    private Settings settings;
     private long requests;
     private final Map<Long, StateServiceStub.Respond> pending = new HashMap<>();
 
@@ -92,24 +97,45 @@
     void start() {
       life++;
       frozenUntil = 0;
+      stepDue = false;
       pending.clear();
-      core = new Controller(settings(this));
+      settings = settingsOf(this);
+      core = new Controller(settings);
       int mine = life;
       ticks(mine);
     }
 
+    /** Like the event loop's: a step is taken where none was for a while. */
     private void ticks(int mine) {
+      long left = lastStep + settings.tickMs() - now;
       after(
-          25,
+          Math.max(1, left),
           () ->
               whenAwake(
                   mine,
                   () -> {
-                    carryOut(core.tick(now, wall()));
+                    if (now - lastStep >= settings.tickMs()) {
+                      step();
+                    }
                     ticks(mine);
                   }));
     }
 
+    private void step() {
+      stepDue = false;
+      lastStep = now;
+      carryOut(work.measure("tick", () -> core.tick(now, wall())));
+    }
+
+    /** One step follows all outcomes that come at the same time. */
+    private void stepSoon() {
+      if (!stepDue) {
+        stepDue = true;
+        int mine = life;
+        after(0, () -> whenAwake(mine, this::step));
+      }
+    }
+
     /**
      * The process stands still while its clocks run on; what comes meanwhile is handled after it.
      */
@@ -145,9 +171,12 @@
           life,
           () ->
               carryOut(
-                  peer
-                      ? core.peerRequest(now, wall(), id, method, path, body)
-                      : core.request(now, wall(), id, method, path, body)));
+                  work.measure(
+                      WorkMeter.kind("", path),
+                      () ->
+                          peer
+                              ? core.peerRequest(now, wall(), id, method, path, body)
+                              : core.request(now, wall(), id, method, path, body))));
     }
 
     private void carryOut(List<Outbox.Effect> effects) {
@@ -169,7 +198,14 @@
               c.timeoutMs(),
               (status, body) ->
                   whenAwake(
-                      mine, () -> carryOut(core.outcome(now, wall(), c.then(), status, body))));
+                      mine,
+                      () -> {
+                        carryOut(
+                            work.measure(
+                                WorkMeter.kind(c.addr(), path),
+                                () -> core.outcome(now, wall(), c.then(), status, body)));
+                        stepSoon();
+                      }));
         }
       }
     }
@@ -186,7 +222,7 @@
     }
   }
 
-  private Settings settings(Node n) {
+  private Settings settingsOf(Node n) {
     List<Settings.Peer> peers = new ArrayList<>();
     for (Node o : nodes.values()) {
       if (o != n) {
@@ -208,7 +244,7 @@
         new Settings.WorkerTimes(REPORT_MS / 1000.0, leaseMs / 1000.0, cancelMs / 1000.0),
         new Settings.StateLimits(stateRps, stateWriteRps, stateValueKb, stateTxnOps),
         new Settings.CloudLimits(10, 3),
-        1000);
+        new Settings.Resources(cpuShare, 1000));
   }
 
   long now() {
