--- a/src/main/java/org/baygw/control/membership/Peers.java
+++ b/src/main/java/org/baygw/control/membership/Peers.java
@@ -52,6 +52,9 @@
   private long lastSend = Long.MIN_VALUE / 2;
   private boolean urgent;
 
+  /** When the first status may go out; 0 until all keys are read. */
+  private long quietUntil;
+
   public Peers(Clock clock, Outbox out, Settings settings, Store store, StateCache view) {
     this.clock = clock;
     this.out = out;
@@ -65,7 +68,7 @@
   public void tick() {
     long now = clock.now();
     boolean due = now >= nextSend || urgent && now >= lastSend + Constants.PEER_URGENT_MS;
-    if (!store.loaded() || !due) {
+    if (!talks() || !due) {
       return;
     }
     urgent = false;
@@ -90,6 +93,21 @@
     }
   }
 
+  /**
+   * Whether this controller exchanges statuses yet. The first one takes as much of the processor as
+   * reading all keys does, and while a controller that was restarted takes its partitions over
+   * workers wait for it with leases that run out.
+   */
+  private boolean talks() {
+    if (!store.loaded()) {
+      return false;
+    }
+    if (quietUntil == 0) {
+      quietUntil = clock.now() + Constants.PEER_QUIET_MS;
+    }
+    return clock.now() >= quietUntil;
+  }
+
   /** A cancellation has become durable here: the siblings hear of it with the next clock step. */
   public void cancelled() {
     urgent = true;
@@ -115,6 +133,10 @@
 
   /** Another controller's message; answered with our own. */
   public void receive(long request, byte[] body) {
+    if (!talks()) {
+      out.answer(request, 503, Json.bytes(Json.object().put("error", "starting")), 1);
+      return;
+    }
     PeerStatus s = learn(body);
     if (s != null) {
       out.answer(request, 200, encode(s.getRevision()));
--- a/src/main/java/org/baygw/control/net/EventLoop.java
+++ b/src/main/java/org/baygw/control/net/EventLoop.java
@@ -10,6 +10,7 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.SelectStrategy;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.channel.socket.SocketChannel;
@@ -23,6 +24,7 @@
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
+import java.nio.channels.spi.SelectorProvider;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -43,8 +45,8 @@
 
   private final Settings settings;
   private final Controller core;
-  private final EventLoopGroup loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
-  private final HttpClient client = new HttpClient(loop);
+  private final EventLoopGroup loop;
+  private final HttpClient client;
   private final Map<Long, Pending> pending = new HashMap<>();
   private long requests;
   private boolean stepDue;
@@ -53,6 +55,11 @@
   public EventLoop(Settings settings) {
     this.settings = settings;
     this.core = new Controller(settings);
+    SelectStrategy strategy = new CoalescingSelectStrategy(settings.wakeUpGapMs());
+    this.loop =
+        new MultiThreadIoEventLoopGroup(
+            1, NioIoHandler.newFactory(SelectorProvider.provider(), () -> strategy));
+    this.client = new HttpClient(loop);
   }
 
   /** Listens and runs; returns once the socket for users and workers is open. */
--- a/src/main/java/org/baygw/control/workers/PartitionWriter.java
+++ b/src/main/java/org/baygw/control/workers/PartitionWriter.java
@@ -102,7 +102,7 @@
       PartitionRecord copy = copies.get(page);
       if (copy == null) {
         copy = view.pages().get(part, page).copy();
-        prune(copy);
+        EndedTasks.forgetKnown(copy, view);
         copies.put(page, copy);
       }
       return copy;
@@ -203,8 +203,8 @@
               r.on().put(machine, PartitionRecord.tasks(tasks));
             }
           });
-      done.forEach((page, m) -> m.forEach((job, l) -> merge(copy(page).done(), job, l)));
-      back.forEach((page, m) -> m.forEach((job, l) -> merge(copy(page).back(), job, l)));
+      done.forEach((page, m) -> m.forEach((job, l) -> EndedTasks.add(copy(page).done(), job, l)));
+      back.forEach((page, m) -> m.forEach((job, l) -> EndedTasks.add(copy(page).back(), job, l)));
       // The first page tells how many there are, and so where each machine stands.
       txn.when(Keys.record(part, 0), view.stamp(Keys.record(part, 0)));
       for (int page : touched) {
@@ -346,14 +346,10 @@
    * it. There is no bound on the number of pages.
    */
   private Draft split() {
-    int before = view.pages().count(part);
-    boolean crowded = false;
-    for (int i = 0; i < before && !crowded; i++) {
-      crowded = view.pages().onBytes(part, i) > limit() * Constants.RECORD_CROWDED;
-    }
-    if (!crowded) {
+    if (!crowded()) {
       return null;
     }
+    int before = view.pages().count(part);
     Draft d = new Draft();
     d.touch(0);
     int after = before;
@@ -378,6 +374,23 @@
     return d;
   }
 
+  /**
+   * Whether pages are to be split: one is crowded, and the others are not nearly empty. Pages are
+   * split in their order, so a single one would have all of them split before its turn comes.
+   */
+  private boolean crowded() {
+    int pages = view.pages().count(part);
+    int most = 0;
+    int sum = 0;
+    for (int page = 0; page < pages; page++) {
+      int bytes = view.pages().onBytes(part, page);
+      most = Math.max(most, bytes);
+      sum += bytes;
+    }
+    return most > limit() * Constants.RECORD_CROWDED
+        && sum > pages * limit() * Constants.RECORD_SPLIT_LOAD;
+  }
+
   /** Moves the machines that stand on a new page, of so many, over to it. */
   private static void moveTo(PartitionRecord from, PartitionRecord to, int page, int pages) {
     moveTo(from.on(), to.on(), page, pages);
@@ -397,12 +410,6 @@
             });
   }
 
-  private static void merge(Map<String, String> texts, String job, TreeMap<Integer, Integer> more) {
-    TreeMap<Integer, Integer> all = PartitionRecord.indexes(texts.get(job));
-    all.putAll(more);
-    texts.put(job, PartitionRecord.indexes(all));
-  }
-
   /** Takes what is proved gone off a machine, and notes whether it is fit for more. */
   private void settle(Draft d, String name) {
     StateCache.Entry<Machine> e = view.machines.get(name);
@@ -577,37 +584,4 @@
               }
             });
   }
-
-  /** Forgets ended tasks that their job's progress has taken over, or that need none any more. */
-  private void prune(PartitionRecord r) {
-    prune(
-        r.done(),
-        (job, i, attempt) -> {
-          Progress p = view.written(job, i / Constants.CHUNK_TASKS);
-          return p == null || p.done.get(i);
-        });
-    prune(
-        r.back(),
-        (job, i, attempt) -> {
-          Progress p = view.written(job, i / Constants.CHUNK_TASKS);
-          return p == null || !p.isLive(i, attempt);
-        });
-  }
-
-  private interface Known {
-    boolean known(String job, int index, int attempt);
-  }
-
-  private static void prune(Map<String, String> texts, Known known) {
-    for (String job : List.copyOf(texts.keySet())) {
-      TreeMap<Integer, Integer> list = PartitionRecord.indexes(texts.get(job));
-      if (list.entrySet().removeIf(e -> known.known(job, e.getKey(), e.getValue()))) {
-        if (list.isEmpty()) {
-          texts.remove(job);
-        } else {
-          texts.put(job, PartitionRecord.indexes(list));
-        }
-      }
-    }
-  }
 }
--- a/src/test/java/org/baygw/control/sim/InvariantChecker.java
+++ b/src/test/java/org/baygw/control/sim/InvariantChecker.java
@@ -201,6 +201,7 @@
 
   void started(WorkerStub w, String task) {
     starts++;
+    machinesUsed.add(w.name);
     Submitted s = job(task);
     begun.putIfAbsent(s.id(), world.now());
     Set<WorkerStub> at = on.computeIfAbsent(task, k -> new LinkedHashSet<>());
@@ -242,6 +243,9 @@
   /** Jobs of which a task that ran has left its machine. */
   final Set<String> everLeft = new HashSet<>();
 
+  /** Machines on which a task has started. */
+  final Set<String> machinesUsed = new HashSet<>();
+
   void left(WorkerStub w, String task) {
     everLeft.add(task.substring(0, task.lastIndexOf('/')));
     Set<WorkerStub> at = on.get(task);
--- a/src/test/java/org/baygw/control/sim/Scenario.java
+++ b/src/test/java/org/baygw/control/sim/Scenario.java
@@ -259,10 +259,13 @@
       case "cloud-outage" -> world.cloud.outage(forMs);
       case "capacity" -> world.cloud.capacity = Integer.parseInt(w[3]);
       case "hang" -> world.workers.get(w[3]).hang(forMs);
-      case "hang-some" ->
-          List.copyOf(world.workers.values())
-              .subList(0, Integer.parseInt(w[3]))
-              .forEach(m -> m.hang(forMs));
+      case "hang-some" -> {
+        int count = Integer.parseInt(w[3]);
+        if (world.workers.size() < count) {
+          failures.add("only " + world.workers.size() + " machines are there to hang");
+        }
+        world.workers.values().stream().limit(count).forEach(m -> m.hang(forMs));
+      }
       case "take" -> world.cloud.take(w[3]);
       case "sick" -> world.workers.get(w[3]).sick = true;
       case "notice" -> {
@@ -560,9 +563,14 @@
     }
   }
 
-  /** What the controllers' cores did, counted: it may not grow unnoticed. */
+  /** How much was used, and what the controllers' cores did: it may not grow unnoticed. */
   private void expectWork(String[] w) {
     switch (w[1]) {
+      case "machines-used-at-least" -> {
+        if (world.checker.machinesUsed.size() < Integer.parseInt(w[2])) {
+          failures.add("only " + world.checker.machinesUsed.size() + " machines had a task");
+        }
+      }
       case "inputs-a-start-at-most" ->
           atMost("inputs a start", (double) world.work.inputs("") / world.checker.starts, w[2]);
       case "allocated-kb-a-start-at-most" ->
