--- a/src/main/java/org/baygw/control/config/Settings.java
+++ b/src/main/java/org/baygw/control/config/Settings.java
@@ -109,14 +109,6 @@
         Constants.TICK_COST_MS, Constants.TICK_SHARE, Constants.TICK_MS, Constants.TICK_MOST_MS);
   }
 
-  /** ms between two wake-ups of the event loop, 0 where the processor can do without. */
-  public long wakeUpGapMs() {
-    long gap =
-        resources.periodMs(
-            Constants.WAKE_UP_COST_MS, Constants.WAKE_UP_SHARE, 0, Constants.WAKE_UP_GAP_MOST_MS);
-    return gap < Constants.WAKE_UP_GAP_LEAST_MS ? 0 : gap;
-  }
-
   public Team team(String name) {
     for (Team t : teams) {
       if (t.name().equals(name)) {
--- a/src/main/java/org/baygw/control/net/EventLoop.java
+++ b/src/main/java/org/baygw/control/net/EventLoop.java
@@ -10,7 +10,6 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.SelectStrategy;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.channel.socket.SocketChannel;
@@ -24,7 +23,6 @@
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
-import java.nio.channels.spi.SelectorProvider;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -55,10 +53,7 @@
   public EventLoop(Settings settings) {
     this.settings = settings;
     this.core = new Controller(settings);
-    SelectStrategy strategy = new CoalescingSelectStrategy(settings.wakeUpGapMs());
-    this.loop =
-        new MultiThreadIoEventLoopGroup(
-            1, NioIoHandler.newFactory(SelectorProvider.provider(), () -> strategy));
+    this.loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     this.client = new HttpClient(loop);
   }
 
