--- a/src/main/java/org/baygw/control/Constants.java
+++ b/src/main/java/org/baygw/control/Constants.java
@@ -99,20 +99,6 @@
    */
   public static final long TICK_MOST_MS = 150;
 
-  /**
-   * ms of a whole core that waking up takes, whatever there is to do: cold caches, system calls.
-   */
-  public static final double WAKE_UP_COST_MS = 0.25;
-
-  /** Share of the processor for waking up; the rest is for what is read then. */
-  public static final double WAKE_UP_SHARE = 0.3;
-
-  /** ms between two wake-ups at most: four steps from a grant to a launch wait for one each. */
-  public static final long WAKE_UP_GAP_MOST_MS = 25;
-
-  /** ms below which a gap is not worth its own system call. */
-  public static final long WAKE_UP_GAP_LEAST_MS = 5;
-
   /** ms. A hold's life: two lost renewals and a slow answer are survived, a crash is seen soon. */
   public static final long HOLD_TTL_MS = 5_000;
 
@@ -137,11 +123,6 @@
   /** ms between two statuses sent to the other controllers. */
   public static final long PEER_MS = 3_000;
 
-  /**
-   * ms after all keys are read before statuses are exchanged: taking partitions over comes first.
-   */
-  public static final long PEER_QUIET_MS = 2_000;
-
   /**
    * ms by which another controller was answered later by the state service: this one is refused
    * alone.
--- a/src/main/java/org/baygw/control/membership/Peers.java
+++ b/src/main/java/org/baygw/control/membership/Peers.java
@@ -1,24 +1,15 @@
 package org.baygw.control.membership;
 
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import org.apache.avro.io.BinaryDecoder;
-import org.apache.avro.io.BinaryEncoder;
-import org.apache.avro.io.DecoderFactory;
-import org.apache.avro.io.EncoderFactory;
-import org.apache.avro.specific.SpecificDatumReader;
-import org.apache.avro.specific.SpecificDatumWriter;
 import org.baygw.control.Constants;
 import org.baygw.control.config.Settings;
 import org.baygw.control.core.Clock;
 import org.baygw.control.core.Json;
 import org.baygw.control.core.Outbox;
-import org.baygw.control.membership.wire.Cancellation;
-import org.baygw.control.membership.wire.PeerStatus;
 import org.baygw.control.store.StateCache;
 import org.baygw.control.store.Store;
 
@@ -52,9 +43,6 @@
   private long lastSend = Long.MIN_VALUE / 2;
   private boolean urgent;
 
-  /** When the first status may go out; 0 until all keys are read. */
-  private long quietUntil;
-
   public Peers(Clock clock, Outbox out, Settings settings, Store store, StateCache view) {
     this.clock = clock;
     this.out = out;
@@ -68,7 +56,7 @@
   public void tick() {
     long now = clock.now();
     boolean due = now >= nextSend || urgent && now >= lastSend + Constants.PEER_URGENT_MS;
-    if (!talks() || !due) {
+    if (!store.loaded() || !due) {
       return;
     }
     urgent = false;
@@ -84,7 +72,7 @@
           periodMs,
           (status, body) -> {
             PeerStatus s = status == 200 ? learn(body) : null;
-            if (s != null && s.getCancellationsComplete() && s.getLabel().equals(p.label())) {
+            if (s != null && s.cancellationsComplete() && s.label().equals(p.label())) {
               // What it had told users of when it answered, it lists; so it holds for the sending
               // time.
               acknowledged.merge(p.label(), now, Math::max);
@@ -93,21 +81,6 @@
     }
   }
 
-  /**
-   * Whether this controller exchanges statuses yet. The first one takes as much of the processor as
-   * reading all keys does, and while a controller that was restarted takes its partitions over
-   * workers wait for it with leases that run out.
-   */
-  private boolean talks() {
-    if (!store.loaded()) {
-      return false;
-    }
-    if (quietUntil == 0) {
-      quietUntil = clock.now() + Constants.PEER_QUIET_MS;
-    }
-    return clock.now() >= quietUntil;
-  }
-
   /** A cancellation has become durable here: the siblings hear of it with the next clock step. */
   public void cancelled() {
     urgent = true;
@@ -133,13 +106,9 @@
 
   /** Another controller's message; answered with our own. */
   public void receive(long request, byte[] body) {
-    if (!talks()) {
-      out.answer(request, 503, Json.bytes(Json.object().put("error", "starting")), 1);
-      return;
-    }
     PeerStatus s = learn(body);
     if (s != null) {
-      out.answer(request, 200, encode(s.getRevision()));
+      out.answer(request, 200, encode(s.revision()));
     } else {
       out.answer(request, 400, Json.bytes(Json.object().put("error", "no status")));
     }
@@ -166,33 +135,35 @@
 
   /** Takes a sibling's status in; null where it is none. */
   private PeerStatus learn(byte[] body) {
+    PeerStatus status;
     try {
-      BinaryDecoder d = DecoderFactory.get().binaryDecoder(body, null);
-      PeerStatus s = new SpecificDatumReader<>(PeerStatus.class).read(null, d);
-      if (settings.peers().stream().noneMatch(p -> p.label().equals(s.getLabel()))) {
-        return null;
-      }
-      seen.put(s.getLabel(), new Seen(clock.now(), s.getStateAgeMs(), s.getRevision()));
-      for (Cancellation c : s.getCancellations()) {
-        view.toldCancelled(c.getJob(), c.getStamp(), c.getCancelledMs());
-      }
-      if (s.getRevision() > view.revision()) {
-        store.refresh();
-      }
-      return s;
+      status = PeerStatusCodec.decode(body);
     } catch (IOException | RuntimeException e) {
       return null; // whatever was sent, it is no status
     }
+    if (settings.peers().stream().noneMatch(p -> p.label().equals(status.label()))) {
+      return null;
+    }
+    seen.put(status.label(), new Seen(clock.now(), status.stateAgeMs(), status.revision()));
+    for (PeerStatus.Cancellation c : status.cancellations()) {
+      view.toldCancelled(c.job(), c.stamp(), c.cancelledMs());
+    }
+    if (status.revision() > view.revision()) {
+      store.refresh();
+    }
+    return status;
   }
 
   /** This controller's status for a sibling whose copy has reached the revision. */
   private byte[] encode(long revision) {
-    List<Cancellation> cancellations = new ArrayList<>();
+    List<PeerStatus.Cancellation> cancellations = new ArrayList<>();
     view.cancelledAfter(revision)
         .forEach(
             (stamp, jobs) ->
                 jobs.forEach(
-                    j -> cancellations.add(new Cancellation(j, stamp, view.cancelledMs(j)))));
+                    j ->
+                        cancellations.add(
+                            new PeerStatus.Cancellation(j, stamp, view.cancelledMs(j)))));
     boolean all = cancellations.size() <= Constants.CANCELLATIONS_TOLD;
     PeerStatus s =
         new PeerStatus(
@@ -201,14 +172,6 @@
             Math.max(0, Math.min(clock.now() - store.lastContact(), Integer.MAX_VALUE)),
             store.loaded() && all,
             all ? cancellations : cancellations.subList(0, Constants.CANCELLATIONS_TOLD));
-    ByteArrayOutputStream bytes = new ByteArrayOutputStream();
-    BinaryEncoder e = EncoderFactory.get().directBinaryEncoder(bytes, null);
-    try {
-      new SpecificDatumWriter<>(PeerStatus.class).write(s, e);
-      e.flush();
-    } catch (IOException x) {
-      throw new IllegalStateException("an array that cannot be written", x);
-    }
-    return bytes.toByteArray();
+    return PeerStatusCodec.encode(s);
   }
 }
