Split Membership: the lease, the assignment of partitions, and claims each have their class

Moves and renames only (hold: lease, part: partition); the requests sent and their order are as before.

--- /dev/null
+++ b/src/main/java/org/baygw/control/membership/PartitionAssignment.java
@@ -0,0 +1,131 @@
+package org.baygw.control.membership;
+
+import com.google.common.hash.Hashing;
+import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import org.baygw.control.Constants;
+import org.baygw.control.config.Settings;
+import org.baygw.control.model.Partition;
+import org.baygw.control.store.StateCache;
+
+/**
+ * Who is to own which partition among a set of controllers: rendezvous hashing in which a
+ * controller of the partition's zone comes first and each takes at most its even share of a zone's
+ * partitions. Every controller that sees the same members computes the same assignment.
+ */
+final class PartitionAssignment {
+  private final Settings settings;
+  private final StateCache view;
+
+  /** Assignments by the controllers and zones that they were computed for. */
+  private final Map<Set<String>, Map<Partition, String>> known = new HashMap<>();
+
+  PartitionAssignment(Settings settings, StateCache view) {
+    this.settings = settings;
+    this.view = view;
+  }
+
+  /** The owner of each partition if just these controllers share them. */
+  Map<Partition, String> among(Set<String> controllers) {
+    if (known.size() > Constants.OWNERS_KEPT) {
+      known.clear();
+    }
+    Set<String> key = new HashSet<>();
+    controllers.forEach(label -> key.add(label + "|" + zoneOf(label)));
+    key.add(String.valueOf(view.partitionsPerZone()));
+    return known.computeIfAbsent(key, k -> assign(controllers, view.partitionsPerZone()));
+  }
+
+  /**
+   * Who is likely to own a machine's partition as far as the settings tell, for workers that come
+   * before the keys have been read. Null where that is this controller itself.
+   */
+  String likelyOwner(String machine, String zone) {
+    Set<String> all = new HashSet<>();
+    settings.peers().forEach(peer -> all.add(peer.label()));
+    all.add(settings.label());
+    int perZone = view.partitionsPerZone() > 0 ? view.partitionsPerZone() : initialPerZone();
+    String owner = assign(all, perZone).get(Partition.of(machine, zone, perZone));
+    return settings.label().equals(owner) ? null : owner;
+  }
+
+  /** How many partitions each zone of a new deployment gets. */
+  int initialPerZone() {
+    int controllers = settings.peers().size() + 1;
+    return (int) Math.ceil(controllers * Constants.PARTS_PER_CONTROLLER / settings.zones().size());
+  }
+
+  /** The zone of a controller, by its member key or else by the settings; empty if unknown. */
+  String zoneOf(String label) {
+    StateCache.Entry<StateCache.Member> member = view.members.get(label);
+    if (member != null) {
+      return member.value().zone();
+    }
+    if (label.equals(settings.label())) {
+      return settings.zone();
+    }
+    for (Settings.Peer peer : settings.peers()) {
+      if (peer.label().equals(label)) {
+        return peer.zone();
+      }
+    }
+    return "";
+  }
+
+  private Map<Partition, String> assign(Set<String> controllers, int perZone) {
+    Map<Partition, String> owners = new HashMap<>();
+    for (String zone : settings.zones()) {
+      assignZone(zone, controllers, perZone, owners);
+    }
+    return owners;
+  }
+
+  private void assignZone(
+      String zone, Set<String> controllers, int perZone, Map<Partition, String> owners) {
+    Set<String> near = new HashSet<>(controllers);
+    near.removeIf(label -> !zoneOf(label).equals(zone));
+    Set<String> eligible = near.isEmpty() ? controllers : near;
+    int most = (perZone + eligible.size() - 1) / Math.max(1, eligible.size());
+    Map<String, Integer> owned = new HashMap<>();
+    for (int i = 0; i < perZone; i++) {
+      Partition partition = new Partition(zone, i);
+      Set<String> free = new HashSet<>(eligible);
+      free.removeIf(label -> owned.getOrDefault(label, 0) >= most);
+      String best = best(partition.toString(), zone, free);
+      if (best != null) {
+        owners.put(partition, best);
+        owned.merge(best, 1, Integer::sum);
+      }
+    }
+  }
+
+  /** The controller with the highest score for a role; those of the zone come before others. */
+  String best(String role, String zone, Set<String> controllers) {
+    String best = null;
+    for (String label : controllers) {
+      if (best == null || precedes(label, best, role, zone)) {
+        best = label;
+      }
+    }
+    return best;
+  }
+
+  private boolean precedes(String label, String other, String role, String zone) {
+    boolean near = zoneOf(label).equals(zone);
+    if (near != zoneOf(other).equals(zone)) {
+      return near;
+    }
+    int score = score(role, label);
+    int otherScore = score(role, other);
+    return score != otherScore ? score > otherScore : label.compareTo(other) < 0;
+  }
+
+  private static int score(String role, String label) {
+    return Hashing.murmur3_32_fixed()
+        .hashString(role + "|" + label, StandardCharsets.UTF_8)
+        .asInt();
+  }
+}
