--- a/src/test/java/org/baygw/control/sim/Scenario.java
+++ b/src/test/java/org/baygw/control/sim/Scenario.java
@@ -36,6 +36,11 @@
 
   /** Plays the text and returns what was not as expected. */
   static List<String> play(String text) {
+    return prepare(text).playOut();
+  }
+
+  /** Reads a scenario, to be played out later. */
+  static Scenario prepare(String text) {
     Scenario s = new Scenario();
     for (String line : text.split("\n")) {
       String l = line.strip();
@@ -43,8 +48,18 @@
         s.read(l.split("\\s+"));
       }
     }
-    s.run();
-    return s.failures;
+    return s;
+  }
+
+  /** Plays it and returns what was not as expected. */
+  List<String> playOut() {
+    run();
+    return failures;
+  }
+
+  /** The cluster that it was played in. */
+  SimulatedCluster world() {
+    return world;
   }
 
   private void read(String[] w) {
@@ -197,6 +212,7 @@
         }
         SimulatedCluster.Node n = world.nodes.get(claim.path("owner").asText());
         n.crash();
+        world.lastCrashAt = world.now();
         world.after(forMs, n::start);
       }
       case "freeze" -> world.nodes.get(w[3]).freeze(forMs);
--- a/src/test/java/org/baygw/control/sim/SimulatedCluster.java
+++ b/src/test/java/org/baygw/control/sim/SimulatedCluster.java
@@ -14,6 +14,7 @@
 import org.baygw.control.config.Settings;
 import org.baygw.control.core.Json;
 import org.baygw.control.core.Outbox;
+import org.baygw.control.model.Partition;
 
 /**
  * A simulated deployment: clock, network, state service, cloud, workers and users around real
@@ -43,6 +44,7 @@
   final List<String> zones;
   final WorkMeter work = new WorkMeter();
   final InvariantChecker checker = new InvariantChecker(this);
+  final FailoverProbe probe = new FailoverProbe(this);
   final StateServiceStub state = new StateServiceStub(this);
   final CloudStub cloud = new CloudStub(this);
   final Map<String, WorkerStub> workers = new TreeMap<>();
@@ -57,6 +59,9 @@
   /** Until when workers' reports reach no controller, while direct commands are answered. */
   private final Map<String, Long> mute = new HashMap<>();
 
+  /** When a scenario last ended the leader's controller. */
+  long lastCrashAt;
+
   long leaseMs = 10_000;
   long cancelMs = 35_000;
   double stateRps = 400;
@@ -372,6 +377,13 @@
     }
   }
 
+  /** The partition of a worker's machine, by the durable number of partitions. */
+  String partitionOf(WorkerStub worker) {
+    JsonNode layout = state.value("b/layout");
+    int perZone = layout == null ? 1 : layout.path("partitions_per_zone").asInt();
+    return Partition.of(worker.name, worker.zone, perZone).toString();
+  }
+
   Set<String> liveLabels() {
     Set<String> out = new HashSet<>();
     nodes
--- a/src/test/java/org/baygw/control/sim/StateServiceStub.java
+++ b/src/test/java/org/baygw/control/sim/StateServiceStub.java
@@ -17,6 +17,9 @@
     void done(int status, byte[] body);
   }
 
+  private static final String CLAIMS = "b/claim/";
+  private static final String LEADER_CLAIM = CLAIMS + FailoverProbe.LEADER;
+
   private record Item(JsonNode value, long stamp, long hold) {}
 
   private record Change(String key, JsonNode value, long stamp) {}
@@ -157,6 +160,9 @@
 
   private void remove(String key) {
     items.remove(key);
+    if (key.startsWith(CLAIMS)) {
+      world.probe.freed(key.substring(CLAIMS.length()));
+    }
     history.add(new Change(key, null, revision));
   }
 
@@ -312,15 +318,33 @@
       if (t.has("write")) {
         String key = t.path("write").asText();
         items.put(key, new Item(t.path("value"), revision, t.path("hold").asLong()));
+        if (key.startsWith(CLAIMS)) {
+          world.probe.claimed(key.substring(CLAIMS.length()), t.path("value"), revision);
+        }
         history.add(new Change(key, t.path("value"), revision));
       } else if (items.containsKey(t.path("delete").asText())) {
         remove(t.path("delete").asText());
       }
     }
+    noteGrant(n);
     wake();
     respond.done(200, Json.bytes(Json.object().put("ledgerRev", revision)));
   }
 
+  private void noteGrant(JsonNode n) {
+    long epoch = 0;
+    for (JsonNode w : n.path("when")) {
+      epoch = w.path("key").asText().equals(LEADER_CLAIM) ? w.path("stamp").asLong() : epoch;
+    }
+    boolean grants = false;
+    for (JsonNode t : n.path("then")) {
+      grants |= t.path("write").asText().startsWith("b/prog/");
+    }
+    if (grants && epoch > 0) {
+      world.probe.granted(epoch);
+    }
+  }
+
   /** Where the changes after a revision begin. */
   private int firstAfter(long rev) {
     int low = 0;
--- a/src/test/java/org/baygw/control/sim/WorkerStub.java
+++ b/src/test/java/org/baygw/control/sim/WorkerStub.java
@@ -159,7 +159,7 @@
           || !a.has("baton")) {
         return;
       }
-      see(a.path("baton").asLong());
+      accept(a);
       answeredSent = sent;
       execute(a.path("orders"));
     } else {
@@ -175,7 +175,14 @@
     }
   }
 
-  private void see(long t) {
+  /** Takes the token of a message whose orders are about to be carried out. */
+  private void accept(JsonNode message) {
+    long t = message.path("baton").asLong();
+    boolean launches = false;
+    for (JsonNode o : message.path("orders")) {
+      launches |= o.path("verb").asText().equals("launch");
+    }
+    world.probe.accepted(world.partitionOf(this), t, launches);
     if (t > token) {
       token = t;
       changed = true;
@@ -215,7 +222,7 @@
     } else if (n.path("baton").asLong() < token || n.path("stint").asLong() != session) {
       respond.done(409, Json.bytes(describe()));
     } else {
-      see(n.path("baton").asLong());
+      accept(n);
       execute(n.path("orders"));
       respond.done(200, Json.bytes(describe()));
     }
