--- a/src/main/java/org/baygw/control/Constants.java
+++ b/src/main/java/org/baygw/control/Constants.java
@@ -55,8 +55,11 @@
   /** Jobs whose ended tasks are taken over at the same time: it is never urgent. */
   public static final int FOLDS = 4;
 
-  /** Divisions of the partitions kept, by members: they change by one or two at a time. */
-  public static final int OWNERS_KEPT = 8;
+  /**
+   * Assignments of the partitions kept, by members: they change by one or two at a time, and a
+   * standby is chosen for each of a few owners.
+   */
+  public static final int OWNERS_KEPT = 24;
 
   /**
    * ms between two writes of a partition's record while tokens are scarce: what ends meanwhile
@@ -102,6 +105,32 @@
   /** ms. A hold's life: two lost renewals and a slow answer are survived, a crash is seen soon. */
   public static final long HOLD_TTL_MS = 5_000;
 
+  /**
+   * ms for which a planned handover waits for standbys to catch up: a batch and its answer. They do
+   * without what has not come by then.
+   */
+  public static final long HANDOVER_FLUSH_MS = 1_500;
+
+  /**
+   * ms that the end of the process waits for a planned handover: some writes, each with a retry.
+   */
+  public static final long HANDOVER_MOST_MS = 8_000;
+
+  /** Bytes of updates in one message to a standby: it fits into a body with all that is around. */
+  public static final int REPLICATION_BYTES = 40 * 1024;
+
+  /** ms. A standby answers within it or the message counts as lost. */
+  public static final int REPLICATION_TIMEOUT_MS = 2_000;
+
+  /** ms between looks at who is active and who is standby of which role. */
+  public static final long ROLE_LOOK_MS = 200;
+
+  /**
+   * Workers to which a new owner introduces itself in one step: each costs a request, and on a
+   * small share of a processor the answers must not hold reports up.
+   */
+  public static final int INTRODUCTIONS_A_STEP = 24;
+
   /** ms between renewals of the hold: three tries within its life. */
   public static final long HOLD_TOUCH_MS = 1_500;
 
--- a/src/main/java/org/baygw/control/Main.java
+++ b/src/main/java/org/baygw/control/Main.java
@@ -2,6 +2,8 @@
 
 import java.nio.file.Path;
 import java.util.Locale;
+import org.baygw.control.config.Features;
+import org.baygw.control.config.FeaturesReader;
 import org.baygw.control.config.Settings;
 import org.baygw.control.config.SettingsReader;
 import org.baygw.control.net.EventLoop;
@@ -15,6 +17,7 @@
 public final class Main {
   private static final int BAD_USAGE = 2;
   private static final String CONFIG = "--config";
+  private static final String FEATURES = "--features";
   private static final String SELF_CHECK = "--self-check";
 
   private Main() {}
@@ -33,11 +36,11 @@
     } else if (parsed.isVersionHelpRequested()) {
       System.out.println("baygw " + version());
     } else if (parsed.hasMatchedOption(SELF_CHECK)) {
-      System.exit(SelfCheck.run() ? 0 : 1);
+      System.exit(SelfCheck.run(features(parsed)) ? 0 : 1);
     } else if (!parsed.hasMatchedOption(CONFIG)) {
       throw exit(BAD_USAGE, "baygw: --config FILE is missing; see --help");
     } else {
-      serve(parsed.matchedOptionValue(CONFIG, (Path) null));
+      serve(parsed.matchedOptionValue(CONFIG, (Path) null), features(parsed));
     }
   }
 
@@ -53,6 +56,12 @@
             .type(Path.class)
             .description("The platform's settings file (TOML).")
             .build());
+    spec.addOption(
+        OptionSpec.builder(FEATURES)
+            .paramLabel("FILE")
+            .type(Path.class)
+            .description("The operators' choice of optional subsystems (TOML); none without it.")
+            .build());
     spec.addOption(
         OptionSpec.builder(SELF_CHECK)
             .type(boolean.class)
@@ -92,19 +101,42 @@
     System.setProperty("org.slf4j.simpleLogger.showShortLogName", "true");
   }
 
+  private static Features features(CommandLine.ParseResult parsed) {
+    if (!parsed.hasMatchedOption(FEATURES)) {
+      return Features.NONE;
+    }
+    try {
+      return FeaturesReader.read(parsed.matchedOptionValue(FEATURES, (Path) null));
+    } catch (SettingsReader.BadSettings e) {
+      throw exit(BAD_USAGE, "baygw: features: " + e.getMessage());
+    }
+  }
+
   /** Starts a controller; its event loop goes on after this has returned. */
-  private static void serve(Path config) throws InterruptedException {
+  private static void serve(Path config, Features features) throws InterruptedException {
     Settings settings;
     try {
       settings = SettingsReader.read(config);
     } catch (SettingsReader.BadSettings e) {
       throw exit(BAD_USAGE, "baygw: " + e.getMessage());
     }
-    new EventLoop(settings).start();
+    EventLoop eventLoop = new EventLoop(settings, features);
+    eventLoop.start();
+    if (features.standby() != null) {
+      Runtime.getRuntime().addShutdownHook(new Thread(() -> endInOrder(eventLoop)));
+    }
     LoggerFactory.getLogger(Main.class)
         .info("{} listens on port {}", settings.label(), settings.listen().port());
   }
 
+  private static void endInOrder(EventLoop eventLoop) {
+    try {
+      eventLoop.stopInOrder();
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
   /** Ends the program; declared to return so that the compiler knows that nothing follows. */
   private static RuntimeException exit(int status, String message) {
     System.err.println(message);
--- a/src/main/java/org/baygw/control/admin/Admin.java
+++ b/src/main/java/org/baygw/control/admin/Admin.java
@@ -16,6 +16,7 @@
 import org.baygw.control.model.Partition;
 import org.baygw.control.model.SchedulingParameters;
 import org.baygw.control.quota.Scheduler;
+import org.baygw.control.standby.StandbyService;
 import org.baygw.control.store.Keys;
 import org.baygw.control.store.StateCache;
 import org.baygw.control.store.Store;
@@ -34,6 +35,7 @@
   private final Membership membership;
   private final Workers workers;
   private final Scheduler scheduler;
+  private final StandbyService standby;
   private Metrics metrics;
 
   public Admin(
@@ -44,7 +46,8 @@
       StateCache view,
       Membership membership,
       Workers workers,
-      Scheduler scheduler) {
+      Scheduler scheduler,
+      StandbyService standby) {
     this.clock = clock;
     this.out = out;
     this.settings = settings;
@@ -53,6 +56,7 @@
     this.membership = membership;
     this.workers = workers;
     this.scheduler = scheduler;
+    this.standby = standby;
   }
 
   /** Handles a request if it is one of ours. */
@@ -216,6 +220,9 @@
       metrics.counter("baygw.moves", "Moves planned", workers, w -> w.rounds().planned());
       metrics.histogram("baygw.launch.ms", "From acceptance to launch", workers.launchMs());
       metrics.histogram("baygw.write.ms", "Conditional writes, with their wait", store.writeMs());
+      if (standby != null) {
+        standby.register(metrics);
+      }
     }
     out.answer(request, 200, metrics.page().getBytes(StandardCharsets.UTF_8));
   }
--- a/src/main/java/org/baygw/control/admin/Metrics.java
+++ b/src/main/java/org/baygw/control/admin/Metrics.java
@@ -5,14 +5,16 @@
 import io.micrometer.core.instrument.binder.jvm.JvmMemoryMetrics;
 import io.micrometer.prometheusmetrics.PrometheusConfig;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import java.util.function.DoubleSupplier;
 import java.util.function.ToDoubleFunction;
 import org.HdrHistogram.Histogram;
+import org.baygw.control.core.MetricsSink;
 
 /**
  * The metrics page. The slices count in plain fields; the registry reads them. It is made at the
  * first request for the page, because its classes would slow every start.
  */
-final class Metrics {
+final class Metrics implements MetricsSink {
   private static final double[] PERCENTILES = {50, 90, 99, 100};
 
   private final PrometheusMeterRegistry registry =
@@ -22,6 +24,16 @@
     new JvmMemoryMetrics().bindTo(registry);
   }
 
+  @Override
+  public void gauge(String name, String help, DoubleSupplier value) {
+    gauge(name, help, value, DoubleSupplier::getAsDouble);
+  }
+
+  @Override
+  public void counter(String name, String help, DoubleSupplier value) {
+    counter(name, help, value, DoubleSupplier::getAsDouble);
+  }
+
   <T> void counter(String name, String help, T of, ToDoubleFunction<T> value) {
     FunctionCounter.builder(name, of, value).description(help).register(registry);
   }
--- /dev/null
+++ b/src/main/java/org/baygw/control/config/FeaturesReader.java
@@ -0,0 +1,84 @@
+package org.baygw.control.config;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.nio.file.Path;
+import java.util.Iterator;
+import java.util.Map;
+import java.util.Set;
+import org.baygw.control.config.SettingsReader.BadSettings;
+
+/**
+ * Reads the file that chooses optional subsystems. A field that is unknown, of the wrong type or
+ * out of bounds is named by its path: it is the operators' own file, where a mistyped name must not
+ * pass for a default.
+ */
+public final class FeaturesReader {
+  private static final String STANDBY = "standby";
+  private static final String ENABLED = "enabled";
+  private static final Set<String> STANDBY_FIELDS =
+      Set.of(ENABLED, "batch_ms", "heartbeat_ms", "suspect_ms", "kept_decisions");
+  private static final long LONGEST_MS = 60_000;
+  private static final long SHORTEST_MS = 50;
+  private static final long MOST_DECISIONS = 1_000_000;
+  private static final long FEWEST_DECISIONS = 16;
+
+  public static Features read(Path file) throws BadSettings {
+    return parse(SettingsReader.readFile(file));
+  }
+
+  public static Features parse(String text) throws BadSettings {
+    JsonNode root = SettingsReader.readToml(text);
+    onlyKnown(root, Set.of(STANDBY), "");
+    return new Features(root.has(STANDBY) ? standby(root.path(STANDBY)) : null);
+  }
+
+  private static Features.Standby standby(JsonNode node) throws BadSettings {
+    if (!node.isObject()) {
+      throw new BadSettings(STANDBY + ": not a table");
+    }
+    onlyKnown(node, STANDBY_FIELDS, STANDBY + ".");
+    if (!node.path(ENABLED).isBoolean()) {
+      throw new BadSettings(STANDBY + "." + ENABLED + ": missing or neither true nor false");
+    }
+    Features.Standby defaults = Features.Standby.DEFAULTS;
+    long batchMs = whole(node, "batch_ms", defaults.batchMs(), SHORTEST_MS, LONGEST_MS);
+    long heartbeatMs = whole(node, "heartbeat_ms", defaults.heartbeatMs(), batchMs, LONGEST_MS);
+    Features.Standby standby =
+        new Features.Standby(
+            batchMs,
+            heartbeatMs,
+            whole(node, "suspect_ms", defaults.suspectMs(), heartbeatMs, LONGEST_MS),
+            (int)
+                whole(
+                    node,
+                    "kept_decisions",
+                    defaults.keptDecisions(),
+                    FEWEST_DECISIONS,
+                    MOST_DECISIONS));
+    return node.path(ENABLED).booleanValue() ? standby : null;
+  }
+
+  private static long whole(JsonNode node, String field, long otherwise, long least, long most)
+      throws BadSettings {
+    JsonNode value = node.path(field);
+    if (value.isMissingNode()) {
+      return Math.max(least, otherwise);
+    }
+    if (!value.isIntegralNumber() || value.asLong() < least || value.asLong() > most) {
+      throw new BadSettings(
+          STANDBY + "." + field + ": must be a whole number from " + least + " to " + most);
+    }
+    return value.asLong();
+  }
+
+  private static void onlyKnown(JsonNode node, Set<String> known, String under) throws BadSettings {
+    for (Iterator<Map.Entry<String, JsonNode>> it = node.fields(); it.hasNext(); ) {
+      String name = it.next().getKey();
+      if (!known.contains(name)) {
+        throw new BadSettings(under + name + ": no such field");
+      }
+    }
+  }
+
+  private FeaturesReader() {}
+}
--- a/src/main/java/org/baygw/control/config/SettingsReader.java
+++ b/src/main/java/org/baygw/control/config/SettingsReader.java
@@ -25,13 +25,15 @@
   }
 
   public static Settings read(Path file) throws BadSettings {
-    String text;
+    return parse(readFile(file));
+  }
+
+  static String readFile(Path file) throws BadSettings {
     try {
-      text = Files.readString(file);
+      return Files.readString(file);
     } catch (IOException | RuntimeException e) {
       throw new BadSettings("config: cannot read " + file);
     }
-    return parse(text);
   }
 
   public static Settings parse(String text) throws BadSettings {
@@ -121,7 +123,7 @@
             (int) number(r, "max_connections", "settings.resources.", 16)));
   }
 
-  private static JsonNode readToml(String text) throws BadSettings {
+  static JsonNode readToml(String text) throws BadSettings {
     try (JsonParser parser = new TomlFactory().createParser(text)) {
       return Json.read(parser);
     } catch (JsonProcessingException e) {
--- a/src/main/java/org/baygw/control/fleet/Fleet.java
+++ b/src/main/java/org/baygw/control/fleet/Fleet.java
@@ -4,6 +4,7 @@
 import org.baygw.control.cloud.Cloud;
 import org.baygw.control.config.Settings;
 import org.baygw.control.core.Clock;
+import org.baygw.control.core.Replication;
 import org.baygw.control.membership.Membership;
 import org.baygw.control.quota.Scheduler;
 import org.baygw.control.store.StateCache;
@@ -32,14 +33,15 @@
       StateCache view,
       Membership membership,
       Cloud cloud,
-      Scheduler scheduler) {
+      Scheduler scheduler,
+      Replication replication) {
     this.clock = clock;
     this.store = store;
     this.view = view;
     this.membership = membership;
     this.scheduler = scheduler;
     this.inventory = new CloudInventory(clock, store, view, membership, cloud);
-    this.rentals = new Rentals(clock, settings, store, view, cloud, inventory);
+    this.rentals = new Rentals(clock, settings, store, view, cloud, inventory, replication);
     this.returns = new Returns(clock, settings, store, view, membership, cloud, inventory);
     this.planner = new RentalPlanner(view, inventory, rentals, returns);
     this.spare = new SpareMachines(clock, settings, view, membership, scheduler, returns);
--- a/src/main/java/org/baygw/control/fleet/Rentals.java
+++ b/src/main/java/org/baygw/control/fleet/Rentals.java
@@ -11,6 +11,7 @@
 import org.baygw.control.cloud.Cloud;
 import org.baygw.control.config.Settings;
 import org.baygw.control.core.Clock;
+import org.baygw.control.core.Replication;
 import org.baygw.control.model.Records;
 import org.baygw.control.model.Rental;
 import org.baygw.control.placement.MachineCapacity;
@@ -39,6 +40,7 @@
   private final StateCache view;
   private final Cloud cloud;
   private final CloudInventory inventory;
+  private final Replication replication;
 
   /** For how long a machine that was rented may be missing from the list. */
   private final long unlistedMs;
@@ -70,7 +72,9 @@
       Store store,
       StateCache view,
       Cloud cloud,
-      CloudInventory inventory) {
+      CloudInventory inventory,
+      Replication replication) {
+    this.replication = replication;
     this.clock = clock;
     this.store = store;
     this.view = view;
@@ -88,6 +92,21 @@
     unwritten.clear();
     answered.clear();
     expected.clear();
+    inherit();
+  }
+
+  /** Takes over what the former leader knew of the cloud's capacity. */
+  private void inherit() {
+    Replication.InheritedQueue known = replication.inheritedQueue();
+    if (known != null) {
+      known
+          .refused()
+          .forEach(
+              kind ->
+                  refused.putIfAbsent(
+                      new MachineKind(kind.type(), kind.zone(), kind.spot()),
+                      clock.now() + Math.min(kind.forMs(), Constants.NO_CAPACITY_MS)));
+    }
   }
 
   boolean refused(MachineKind kind) {
@@ -221,6 +240,7 @@
 
   private void refuse(MachineKind kind) {
     refused.put(kind, clock.now() + Constants.NO_CAPACITY_MS);
+    replication.capacityRefused(kind.type(), kind.zone(), kind.spot(), Constants.NO_CAPACITY_MS);
   }
 
   private void forget(String name, long stamp) {
--- a/src/main/java/org/baygw/control/membership/Membership.java
+++ b/src/main/java/org/baygw/control/membership/Membership.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Consumer;
 import org.baygw.control.Constants;
 import org.baygw.control.config.Settings;
 import org.baygw.control.core.Clock;
@@ -39,10 +40,23 @@
   /** Claims that are known to be over though the copy still has them, by their stamps. */
   private final Map<String, Long> overtaken = new HashMap<>();
 
+  /** Whether the leader's successor is sought in another zone than the leader's. */
+  private final boolean spreadsLeader;
+
+  /** The zone of the latest leader that this controller has seen; empty before. */
+  private String leaderZone = "";
+
   private long nextClaim;
   private boolean claiming;
 
-  public Membership(Clock clock, Settings settings, Store store, StateCache view) {
+  /**
+   * Makes the membership of this controller.
+   *
+   * @param spreadsLeader whether the leader's successor is sought in another zone than the leader's
+   */
+  public Membership(
+      Clock clock, Settings settings, Store store, StateCache view, boolean spreadsLeader) {
+    this.spreadsLeader = spreadsLeader;
     this.clock = clock;
     this.settings = settings;
     this.store = store;
@@ -93,6 +107,118 @@
     return owned(Keys.LEADER);
   }
 
+  /** The claim of a role as the copy has it, or null. */
+  public StateCache.Entry<StateCache.Claim> claim(String role) {
+    return view.claims.get(role);
+  }
+
+  /** The names of all roles: the leader's and the partitions'. */
+  public List<String> roles() {
+    List<String> roles = new ArrayList<>(partitions().size() + 1);
+    roles.add(Keys.LEADER);
+    partitions().forEach(partition -> roles.add(partition.toString()));
+    return roles;
+  }
+
+  /** Whether this controller holds any role. */
+  public boolean ownsAny() {
+    return roles().stream().anyMatch(role -> owned(role) != 0);
+  }
+
+  /** The steady time until which this controller's membership lease certainly lives. */
+  public long leaseValidUntil() {
+    return lease.validUntil();
+  }
+
+  /**
+   * The controller that takes the role if its present holder goes, by the same rules by which
+   * claims are taken; null where there is no other.
+   */
+  public String successor(String role) {
+    StateCache.Entry<StateCache.Claim> claim = view.claims.get(role);
+    Set<String> others = new HashSet<>(view.members.keySet());
+    if (claim != null) {
+      others.remove(claim.value().owner());
+    }
+    if (others.isEmpty()) {
+      return null;
+    }
+    return role.equals(Keys.LEADER)
+        ? leaderAmong(others)
+        : assignment.among(able(others)).get(Partition.parse(role));
+  }
+
+  private String leaderAmong(Set<String> controllers) {
+    Set<String> staying = staying(controllers);
+    Set<String> elsewhere = new HashSet<>(staying);
+    elsewhere.removeIf(label -> assignment.zoneOf(label).equals(leaderZone));
+    boolean spread = spreadsLeader && !leaderZone.isEmpty() && !elsewhere.isEmpty();
+    return assignment.best(Keys.LEADER, "", spread ? elsewhere : staying);
+  }
+
+  /** Whether the member key says that this controller is leaving. */
+  public boolean leaving() {
+    StateCache.Entry<StateCache.Member> self = view.members.get(settings.label());
+    return self != null && self.value().leaving();
+  }
+
+  /** Makes it durable that this controller is leaving, or is not. */
+  public void leave(boolean leaves) {
+    lease.leaving(leaves);
+  }
+
+  /** Whether another controller lives that stays. */
+  public boolean othersStay() {
+    return view.members.entrySet().stream()
+        .anyMatch(
+            entry ->
+                !entry.getKey().equals(settings.label()) && !entry.getValue().value().leaving());
+  }
+
+  /**
+   * Deletes this controller's claims in one conditional write, as many as it takes; the outcome is
+   * told once it is certain.
+   *
+   * @return false where another write of claims is under way
+   */
+  public boolean release(Consumer<Boolean> then) {
+    if (claiming) {
+      return false;
+    }
+    Txn release = new Txn();
+    for (String role : roles()) {
+      long stamp = owned(role);
+      if (stamp != 0 && release.writes() < settings.state().txnOps()) {
+        release.when(Keys.claim(role), stamp).delete(Keys.claim(role));
+      }
+    }
+    if (release.writes() == 0) {
+      then.accept(true);
+      return true;
+    }
+    claiming = true;
+    store.settle(
+        Store.Urgency.HOLD,
+        release,
+        Constants.STATE_TIMEOUT_MS,
+        ok -> {
+          claiming = false;
+          LOG.info("{} {}", ok ? "released" : "could not release", release.then());
+          then.accept(ok);
+        });
+    return true;
+  }
+
+  /** Ends this controller's membership for good; to be called again until {@link #left()}. */
+  public void end() {
+    lease.leave();
+  }
+
+  /** Whether this controller's membership is over for good. */
+  public boolean left() {
+    return lease.left();
+  }
+
   /** The label of the controller that owns the partition, or null. */
   public String owner(Partition partition) {
     StateCache.Entry<StateCache.Claim> claim = view.claims.get(partition.toString());
@@ -108,6 +234,8 @@
       firstSeen.keySet().retainAll(view.members.keySet());
       view.members.keySet().forEach(label -> firstSeen.putIfAbsent(label, now));
     }
+    StateCache.Entry<StateCache.Claim> leader = view.claims.get(Keys.LEADER);
+    leaderZone = leader == null ? leaderZone : assignment.zoneOf(leader.value().owner());
     boolean joined = lease.current() != 0;
     lease.tick();
     if (!store.loaded() || !joined) {
@@ -172,7 +300,7 @@
   /** Takes what this controller is to have and nobody holds, or else hands one partition over. */
   private void claims() {
     Txn take = take();
-    Txn next = take.writes() > 0 ? take : give();
+    Txn next = take.writes() > 0 || leaving() ? take : give();
     if (next.writes() == 0) {
       nextClaim = clock.now() + Constants.CLAIM_LOOK_MS;
       return;
@@ -194,7 +322,7 @@
   private Txn take() {
     List<String> wanted = new ArrayList<>();
     if (!view.claims.containsKey(Keys.LEADER)
-        && settings.label().equals(assignment.best(Keys.LEADER, "", view.members.keySet()))) {
+        && settings.label().equals(leaderAmong(view.members.keySet()))) {
       wanted.add(Keys.LEADER);
     }
     Map<Partition, String> owners = assignment.among(expected());
@@ -275,11 +403,20 @@
     return able(out);
   }
 
-  /** Those of them that reach their workers; all of them if none does. */
+  /** Those of them that stay and reach their workers; all that stay if none does. */
   private Set<String> able(Set<String> among) {
-    Set<String> out = new HashSet<>(among);
+    Set<String> staying = staying(among);
+    Set<String> out = new HashSet<>(staying);
     out.removeIf(
         label -> view.members.containsKey(label) && !view.members.get(label).value().reaches());
+    return out.isEmpty() ? staying : out;
+  }
+
+  /** Those of them that are not leaving; all of them if all are. */
+  private Set<String> staying(Set<String> among) {
+    Set<String> out = new HashSet<>(among);
+    out.removeIf(
+        label -> view.members.containsKey(label) && view.members.get(label).value().leaving());
     return out.isEmpty() ? new HashSet<>(among) : out;
   }
 }
--- a/src/main/java/org/baygw/control/membership/MembershipLease.java
+++ b/src/main/java/org/baygw/control/membership/MembershipLease.java
@@ -36,8 +36,17 @@
   /** The latest lease of this controller that is known to be over. */
   private long ended;
 
+  /** The steady time until which the current lease certainly lives. */
+  private long validUntil = Long.MIN_VALUE;
+
+  private long preparedUntil;
   private boolean busy;
   private boolean updating;
+  private boolean leaving;
+
+  /** This controller has ended its lease and takes none any more. */
+  private boolean left;
+
   private long nextTry;
 
   MembershipLease(Clock clock, Settings settings, Store store, StateCache view) {
@@ -52,6 +61,16 @@
     return current;
   }
 
+  /** The steady time until which the lease certainly lives, whatever the state service does. */
+  long validUntil() {
+    return current == 0 ? Long.MIN_VALUE : validUntil;
+  }
+
+  /** Whether this controller has ended its membership for good. */
+  boolean left() {
+    return left;
+  }
+
   long joinedAt() {
     return joinedAt;
   }
@@ -59,7 +78,7 @@
   /** Takes a lease, joins with it and renews it, each when it is due. */
   void tick() {
     long now = clock.now();
-    if (busy || now < nextTry) {
+    if (busy || left || now < nextTry) {
       return;
     }
     if (!store.loaded()) {
@@ -106,6 +125,7 @@
   /** Takes a lease that joining will use; by itself it stands for nothing. */
   private void prepare() {
     ObjectNode ask = Json.object().put("ttlMs", Constants.HOLD_TTL_MS);
+    long until = certainlyUntil();
     request(
         "POST",
         "/holds",
@@ -117,6 +137,7 @@
             nextTry = clock.now() + Constants.STATE_RETRY_MS;
           } else {
             prepared = taken;
+            preparedUntil = until;
             preparedAt = clock.now();
           }
         });
@@ -133,6 +154,7 @@
           busy = false;
           if (outcome == Store.Outcome.OK) {
             current = taken;
+            validUntil = preparedUntil;
             joinedAt = clock.now();
             nextTry = clock.now() + Constants.HOLD_TOUCH_MS;
             LOG.info("joined with membership lease {}", taken);
@@ -144,6 +166,7 @@
 
   private void renew() {
     long renewed = current;
+    long until = certainlyUntil();
     request(
         "POST",
         "/holds/" + renewed + "/touch",
@@ -153,12 +176,41 @@
             LOG.warn("membership lease {} has run out", renewed);
             current = 0;
             ended = renewed;
+          } else if (status == 200) {
+            validUntil = until;
           }
           nextTry =
               clock.now() + (status == 200 ? Constants.HOLD_TOUCH_MS : Constants.STATE_RETRY_MS);
         });
   }
 
+  /** How long a lease that is taken or renewed now lives at least, by this controller's clock. */
+  private long certainlyUntil() {
+    return clock.now() + (long) (Constants.HOLD_TTL_MS * (1 - Constants.DRIFT));
+  }
+
+  /** Ends the lease now, with all claims, and takes no other. */
+  void leave() {
+    if (busy || left) {
+      return;
+    }
+    if (current == 0) {
+      left = true;
+      return;
+    }
+    request(
+        "DELETE",
+        "/holds/" + current,
+        null,
+        (status, body) -> {
+          left = status == 200 || status == 204 || status == 404;
+          if (left) {
+            LOG.info("left; membership lease {} is over", current);
+            current = 0;
+          }
+        });
+  }
+
   private interface Answer {
     void done(int status, byte[] body);
   }
@@ -180,28 +232,46 @@
   }
 
   private ObjectNode member(long lease, boolean reaches) {
-    return Json.object().put("zone", settings.zone()).put("hold", lease).put("reaches", reaches);
+    ObjectNode member = Json.object().put("zone", settings.zone());
+    member.put("hold", lease).put("reaches", reaches);
+    return leaving ? member.put("leaving", true) : member;
   }
 
   /** Makes durable whether this controller reaches the workers of its zone. */
   void reaches(boolean can) {
-    String key = Keys.member(settings.label());
     StateCache.Entry<StateCache.Member> entry = view.members.get(settings.label());
-    if (updating
-        || entry == null
-        || entry.value().hold() != current
-        || entry.value().reaches() == can) {
+    if (entry != null && entry.value().reaches() != can) {
+      update(entry, can, () -> LOG.info("{} its workers", can ? "reaches" : "does not reach"));
+    }
+  }
+
+  /** Makes durable whether this controller is leaving, so that others take its roles. */
+  void leaving(boolean leaves) {
+    leaving = leaves;
+    StateCache.Entry<StateCache.Member> entry = view.members.get(settings.label());
+    if (entry != null && entry.value().leaving() != leaves) {
+      update(
+          entry,
+          entry.value().reaches(),
+          () -> LOG.info(leaves ? "leaves its roles to the others" : "takes roles again"));
+    }
+  }
+
+  private void update(
+      StateCache.Entry<StateCache.Member> entry, boolean reaches, Runnable written) {
+    if (updating || entry.value().hold() != current) {
       return;
     }
     updating = true;
+    String key = Keys.member(settings.label());
     store.txn(
         Store.Urgency.HOLD,
-        new Txn().when(key, entry.stamp()).put(key, member(current, can), current),
+        new Txn().when(key, entry.stamp()).put(key, member(current, reaches), current),
         Constants.STATE_TIMEOUT_MS,
         outcome -> {
           updating = false;
           if (outcome == Store.Outcome.OK) {
-            LOG.info("{} its workers", can ? "reaches" : "does not reach");
+            written.run();
           }
         });
   }
--- a/src/main/java/org/baygw/control/net/EventLoop.java
+++ b/src/main/java/org/baygw/control/net/EventLoop.java
@@ -23,12 +23,15 @@
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
+import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.baygw.control.Constants;
 import org.baygw.control.Controller;
+import org.baygw.control.config.Features;
 import org.baygw.control.config.Settings;
 import org.baygw.control.core.Outbox;
 import org.slf4j.Logger;
@@ -38,6 +41,10 @@
 public final class EventLoop {
   private static final Logger LOG = LoggerFactory.getLogger(EventLoop.class);
 
+  private static final byte[] NO_BODY = new byte[0];
+  private static final byte[] MALFORMED =
+      "{\"error\":\"malformed\"}".getBytes(StandardCharsets.UTF_8);
+
   /** Where an answer goes. */
   private record Pending(Channel channel, boolean keepAlive) {}
 
@@ -50,9 +57,9 @@
   private boolean stepDue;
   private long lastStep;
 
-  public EventLoop(Settings settings) {
+  public EventLoop(Settings settings, Features features) {
     this.settings = settings;
-    this.core = new Controller(settings);
+    this.core = new Controller(settings, features);
     this.loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     this.client = new HttpClient(loop);
   }
@@ -78,7 +85,7 @@
   private void step() {
     stepDue = false;
     lastStep = now();
-    safely(() -> run(core.tick(lastStep, wall())));
+    handle(core::tick);
   }
 
   /** The core takes a step once all that has come by now is read: one for many inputs. */
@@ -100,6 +107,31 @@
     loop.shutdownGracefully(0, 100, TimeUnit.MILLISECONDS).syncUninterruptibly();
   }
 
+  /**
+   * Hands all roles over and ends the event loop; returns when that is done, or cannot be had in
+   * time.
+   */
+  public void stopInOrder() throws InterruptedException {
+    CountDownLatch ended = new CountDownLatch(1);
+    loop.next().execute(() -> safely(core::beginToEnd));
+    var looks =
+        loop.next()
+            .scheduleAtFixedRate(
+                () -> {
+                  if (core.ended()) {
+                    ended.countDown();
+                  }
+                },
+                0,
+                Constants.TICK_MS,
+                TimeUnit.MILLISECONDS);
+    if (!ended.await(Constants.HANDOVER_MOST_MS, TimeUnit.MILLISECONDS)) {
+      LOG.warn("roles were not handed over in time: their leases run out");
+    }
+    looks.cancel(false);
+    stop();
+  }
+
   /** Where the core takes requests of one socket. */
   private interface Entry {
     List<Outbox.Effect> request(
@@ -143,21 +175,40 @@
     }
   }
 
-  private void run(List<Outbox.Effect> effects) {
-    for (Outbox.Effect e : effects) {
-      if (e instanceof Outbox.Call c) {
-        client.call(
-            c,
-            (status, body) -> {
-              safely(() -> run(core.outcome(now(), wall(), c.then(), status, body)));
-              stepSoon();
-            });
-      } else if (e instanceof Outbox.Answer a) {
-        answer(a);
+  /** Something that the core is to handle. */
+  private interface Input {
+    List<Outbox.Effect> handle(long nowMs, long wallMs);
+  }
+
+  /** Has the core handle an input and carries out what it decides. */
+  private void handle(Input input) {
+    safely(
+        () -> {
+          long decidedAt = now();
+          emit(input.handle(decidedAt, wall()), decidedAt);
+        });
+  }
+
+  private void emit(List<Outbox.Effect> effects, long decidedAt) {
+    for (Outbox.Effect effect : effects) {
+      if (effect instanceof Outbox.Call call) {
+        if (call.orders() && core.withholds(decidedAt, now())) {
+          loop.next().execute(() -> finish(call, Outbox.NOT_SENT, NO_BODY));
+        } else {
+          client.call(call, (status, body) -> finish(call, status, body));
+        }
+      } else if (effect instanceof Outbox.Answer answer) {
+        boolean withheld = answer.orders() && core.withholds(decidedAt, now());
+        answer(withheld ? Outbox.Answer.withheld(answer.request()) : answer);
       }
     }
   }
 
+  private void finish(Outbox.Call call, int status, byte[] body) {
+    handle((nowMs, wallMs) -> core.outcome(nowMs, wallMs, call.then(), status, body));
+    stepSoon();
+  }
+
   private void answer(Outbox.Answer a) {
     Pending p = pending.remove(a.request());
     if (p == null || !p.channel().isActive()) {
@@ -199,10 +250,10 @@
       int query = uri.indexOf('?');
       String path = query < 0 ? uri : uri.substring(0, query);
       if (r.decoderResult().isFailure() || body.length > Constants.MAX_BODY) {
-        answer(new Outbox.Answer(id, 400, "{\"error\":\"malformed\"}".getBytes(), 0));
+        answer(new Outbox.Answer(id, 400, MALFORMED, 0, false));
         return;
       }
-      safely(() -> run(entry.request(now(), wall(), id, r.method().name(), path, body)));
+      handle((nowMs, wallMs) -> entry.request(nowMs, wallMs, id, r.method().name(), path, body));
     }
 
     @Override
--- a/src/main/java/org/baygw/control/net/SelfCheck.java
+++ b/src/main/java/org/baygw/control/net/SelfCheck.java
@@ -11,6 +11,7 @@
 import java.net.ServerSocket;
 import java.net.URI;
 import java.nio.charset.StandardCharsets;
+import org.baygw.control.config.Features;
 import org.baygw.control.config.Settings;
 import org.baygw.control.config.SettingsReader;
 import org.baygw.control.core.Json;
@@ -31,7 +32,8 @@
     this.base = "http://127.0.0.1:" + port;
   }
 
-  public static boolean run() throws Exception {
+  /** Plays it with the optional subsystems that are chosen. */
+  public static boolean run(Features features) throws Exception {
     int[] ports = new int[2];
     ServerSocket[] taken = new ServerSocket[ports.length];
     for (int i = 0; i < ports.length; i++) {
@@ -46,7 +48,7 @@
         HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 0);
     standIn.createContext("/", check::answer);
     standIn.start();
-    EventLoop eventLoop = new EventLoop(settings(ports, standIn.getAddress().getPort()));
+    EventLoop eventLoop = new EventLoop(settings(ports, standIn.getAddress().getPort()), features);
     eventLoop.start();
     try {
       return check.play();
--- a/src/main/java/org/baygw/control/quota/Scheduler.java
+++ b/src/main/java/org/baygw/control/quota/Scheduler.java
@@ -4,6 +4,7 @@
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -12,6 +13,7 @@
 import org.baygw.control.Constants;
 import org.baygw.control.config.Settings;
 import org.baygw.control.core.Clock;
+import org.baygw.control.core.Replication;
 import org.baygw.control.membership.Membership;
 import org.baygw.control.model.Job;
 import org.baygw.control.model.JobSpec;
@@ -39,6 +41,7 @@
   private final Store store;
   private final StateCache view;
   private final Membership membership;
+  private final Replication replication;
   private final ZoneRules zones;
   private final CapacityCache rooms;
   private final JobWrites writes;
@@ -57,8 +60,17 @@
   private long nextClean;
   private long seenChanges = -1;
 
+  /** The leadership's stamp under which this scheduler last worked. */
+  private long epoch;
+
   public Scheduler(
-      Clock clock, Settings settings, Store store, StateCache view, Membership membership) {
+      Clock clock,
+      Settings settings,
+      Store store,
+      StateCache view,
+      Membership membership,
+      Replication replication) {
+    this.replication = replication;
     this.clock = clock;
     this.settings = settings;
     this.store = store;
@@ -96,6 +108,10 @@
       unmet = List.of();
       return;
     }
+    if (epoch != membership.leadership()) {
+      epoch = membership.leadership();
+      inherit();
+    }
     if (now < nextPass || unmetIsCurrent() && now < nextPass + Constants.SCHEDULER_IDLE_PASS_MS) {
       return;
     }
@@ -109,6 +125,17 @@
     new Pass().run();
   }
 
+  /** Takes over what the former leader knew of waiting jobs and grants. */
+  private void inherit() {
+    Replication.InheritedQueue known = replication.inheritedQueue();
+    if (known == null) {
+      return;
+    }
+    long now = clock.now();
+    known.waitingForMs().forEach((job, ms) -> unmetSince.putIfAbsent(job, now - ms));
+    known.grantedAgoMs().forEach((task, ms) -> grantedAt.putIfAbsent(task, now - ms));
+  }
+
   private void passSoon() {
     nextPass = 0;
     seenChanges = -1;
@@ -240,7 +267,10 @@
     /** Notes tasks that found no room; returns for how long the job has had such tasks. */
     private long noteUnmet(QueuedJob job, int count, int[] zoneLive) {
       JobSpec spec = job.spec();
-      long waitedMs = clock.now() - unmetSince.computeIfAbsent(job.id(), k -> clock.now());
+      if (unmetSince.putIfAbsent(job.id(), clock.now()) == null) {
+        replication.waiting(job.id());
+      }
+      long waitedMs = clock.now() - unmetSince.get(job.id());
       if (!spec.spread() && !spec.oneZone()) {
         left.add(new UnmetDemand(spec, spec.zone(), count, waitedMs, job.standing()));
         return waitedMs;
@@ -257,11 +287,31 @@
     private void forgetOld() {
       if (clock.now() >= nextClean) {
         nextClean = clock.now() + Constants.SCHEDULER_CLEAN_MS;
-        grantedAt.keySet().removeIf(task -> view.grant(task) == null && !writes.busy(task.job()));
+        forgetGrants();
       }
-      Set<String> ids = new HashSet<>();
-      left.forEach(demand -> ids.add(demand.spec().id()));
-      unmetSince.keySet().retainAll(ids);
+      Set<String> waiting = new HashSet<>();
+      left.forEach(demand -> waiting.add(demand.spec().id()));
+      for (Iterator<String> it = unmetSince.keySet().iterator(); it.hasNext(); ) {
+        String job = it.next();
+        if (!waiting.contains(job)) {
+          it.remove();
+          replication.served(job);
+        }
+      }
+    }
+
+    private void forgetGrants() {
+      Map<String, List<Integer>> over = new HashMap<>();
+      for (TaskId task : grantedAt.keySet()) {
+        if (view.grant(task) == null && !writes.busy(task.job())) {
+          over.computeIfAbsent(task.job(), k -> new ArrayList<>()).add(task.index());
+        }
+      }
+      over.forEach(
+          (job, tasks) -> {
+            tasks.forEach(index -> grantedAt.remove(new TaskId(job, index)));
+            replication.grantsEnded(job, tasks);
+          });
     }
   }
 
@@ -272,6 +322,7 @@
     private final int allowed;
     private final Map<Integer, Progress> next = new LinkedHashMap<>();
     private final Map<Partition, Integer> partitions = new HashMap<>();
+    private final List<Integer> granted = new ArrayList<>();
     private int count;
 
     Grants(QueuedJob job, int[] zoneLive, int allowed) {
@@ -315,6 +366,7 @@
           .grant(index, place.part());
       partitions.merge(place.part(), 1, Integer::sum);
       grantedAt.put(new TaskId(job.id(), index), clock.now());
+      granted.add(index);
       zoneLive[zones.index(place.part().zone())]++;
       count++;
     }
@@ -330,6 +382,7 @@
             txn.when(key, view.stamp(key)).put(key, Records.progress(progress));
           });
       LOG.debug("grant {} tasks of {}", count, job.id());
+      replication.granted(job.id(), granted);
       writes.grant(job.id(), partitions, txn);
     }
   }
--- /dev/null
+++ b/src/main/java/org/baygw/control/standby/DecisionLog.java
@@ -0,0 +1,88 @@
+package org.baygw.control.standby;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.Iterator;
+import java.util.List;
+
+/**
+ * The decisions of one role in one epoch, numbered from 1, at the controller that is active for it:
+ * their sum, and as many of the last ones as the bound allows. Appending never waits for anybody.
+ */
+final class DecisionLog {
+  private final Role role;
+  private final long epoch;
+  private final int bound;
+  private final Deque<Decision> tail = new ArrayDeque<>();
+  private RoleState state;
+  private long last;
+
+  /**
+   * Begins a log.
+   *
+   * @param base what was inherited from the former epoch
+   * @param bound how many decisions are kept for a standby that lags
+   */
+  DecisionLog(Role role, long epoch, RoleState base, int bound) {
+    this.role = role;
+    this.epoch = epoch;
+    this.state = base;
+    this.bound = bound;
+  }
+
+  Role role() {
+    return role;
+  }
+
+  long epoch() {
+    return epoch;
+  }
+
+  /** The sum of all decisions so far. */
+  RoleState state() {
+    return state;
+  }
+
+  /** The number of the last decision; 0 if there was none. */
+  long last() {
+    return last;
+  }
+
+  /** Decisions that are kept. */
+  int kept() {
+    return tail.size();
+  }
+
+  void append(Decision decision) {
+    state = state.apply(decision);
+    last++;
+    tail.add(decision);
+    if (tail.size() > bound) {
+      tail.remove();
+    }
+  }
+
+  /** Whether all decisions after this number are kept; otherwise a snapshot is needed. */
+  boolean reachesBackTo(long sequence) {
+    return sequence >= last - tail.size() && sequence <= last;
+  }
+
+  /** The decisions after a number that it reaches back to, as many as go into so many bytes. */
+  List<Decision> after(long sequence, int bytes) {
+    List<Decision> found = new ArrayList<>();
+    Iterator<Decision> decisions = tail.iterator();
+    for (long skip = sequence - (last - tail.size()); skip > 0; skip--) {
+      decisions.next();
+    }
+    int left = bytes;
+    while (decisions.hasNext() && left > 0) {
+      Decision decision = decisions.next();
+      left -= DecisionCodec.sizeOf(decision);
+      if (left >= 0 || found.isEmpty()) {
+        found.add(decision);
+      }
+    }
+    return found;
+  }
+}
--- /dev/null
+++ b/src/main/java/org/baygw/control/standby/MachineState.java
@@ -0,0 +1,81 @@
+package org.baygw.control.standby;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.pcollections.HashPMap;
+import org.pcollections.HashTreePMap;
+import org.roaringbitmap.RoaringBitmap;
+
+/**
+ * What an owner knows of one machine beyond the durable record. Immutable.
+ *
+ * @param session the worker's session; 0 where it is not known
+ * @param launched tasks that this owner or a former one launched there, by job
+ * @param failures tasks that failed there since one last completed, by job
+ */
+record MachineState(
+    String address,
+    long session,
+    HashPMap<String, TimedTasks> launched,
+    HashPMap<String, Integer> failures,
+    boolean sick) {
+  static final MachineState UNKNOWN =
+      new MachineState("", 0, HashTreePMap.empty(), HashTreePMap.empty(), false);
+
+  MachineState withSession(String newAddress, long newSession) {
+    return new MachineState(newAddress, newSession, launched, failures, sick);
+  }
+
+  MachineState launched(String job, RoaringBitmap tasks, long atMs) {
+    TimedTasks next = launched.getOrDefault(job, TimedTasks.NONE).with(tasks, atMs);
+    return new MachineState(address, session, launched.plus(job, next), failures, sick);
+  }
+
+  MachineState ended(String job, RoaringBitmap tasks) {
+    TimedTasks before = launched.get(job);
+    if (before == null) {
+      return this;
+    }
+    TimedTasks left = before.without(tasks);
+    HashPMap<String, TimedTasks> next =
+        left.isEmpty() ? launched.minus(job) : launched.plus(job, left);
+    return new MachineState(address, session, next, failures, sick);
+  }
+
+  MachineState failed(String job, int count) {
+    int sum = failures.getOrDefault(job, 0) + count;
+    return new MachineState(address, session, launched, failures.plus(job, sum), sick);
+  }
+
+  MachineState completed() {
+    return failures.isEmpty()
+        ? this
+        : new MachineState(address, session, launched, HashTreePMap.empty(), sick);
+  }
+
+  MachineState withSick() {
+    return new MachineState(address, session, launched, failures, true);
+  }
+
+  /** The decisions that lead from an unknown machine to this state. */
+  List<Decision> decisions(String machine) {
+    List<Decision> decisions = new ArrayList<>();
+    if (session != 0 || !address.isEmpty()) {
+      decisions.add(new Decision.SessionKnown(machine, address, session));
+    }
+    launched.forEach(
+        (job, tasks) ->
+            tasks
+                .batches()
+                .forEach(
+                    batch ->
+                        decisions.add(
+                            new Decision.TasksLaunched(
+                                machine, job, batch.tasks(), batch.atMs()))));
+    failures.forEach((job, count) -> decisions.add(new Decision.TasksFailed(machine, job, count)));
+    if (sick) {
+      decisions.add(new Decision.MachineSick(machine));
+    }
+    return decisions;
+  }
+}
--- /dev/null
+++ b/src/main/java/org/baygw/control/standby/Replicator.java
@@ -0,0 +1,221 @@
+package org.baygw.control.standby;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.baygw.control.Constants;
+import org.baygw.control.config.Features;
+import org.baygw.control.config.Settings;
+import org.baygw.control.core.Clock;
+import org.baygw.control.core.Json;
+import org.baygw.control.core.Outbox;
+import org.baygw.control.store.Store;
+
+/**
+ * Carries decision logs from this controller to its standbys and takes in those of others. To each
+ * sibling one message at a time is under way, with all roles of which it is the standby.
+ */
+final class Replicator {
+  static final String PATH = "/peer/replication";
+
+  /** The traffic with one sibling. */
+  private static final class Link {
+    private final Settings.Peer peer;
+    private boolean sending;
+    private long lastSent = Long.MIN_VALUE / 2;
+
+    /** The latest answer left something to be sent at once. */
+    private boolean more;
+
+    private final List<RoleUpdate.Release> releases = new ArrayList<>();
+
+    Link(Settings.Peer peer) {
+      this.peer = peer;
+    }
+  }
+
+  private final Clock clock;
+  private final Outbox out;
+  private final Settings settings;
+  private final Features.Standby features;
+  private final Store store;
+  private final RoleTable roles;
+  private final Map<String, Link> links = new TreeMap<>();
+  private boolean flushing;
+  private long bytesSent;
+  private long bytesReceived;
+  private long unanswered;
+
+  Replicator(
+      Clock clock,
+      Outbox out,
+      Settings settings,
+      Features.Standby features,
+      Store store,
+      RoleTable roles) {
+    this.clock = clock;
+    this.out = out;
+    this.settings = settings;
+    this.features = features;
+    this.store = store;
+    this.roles = roles;
+    settings.peers().forEach(peer -> links.put(peer.label(), new Link(peer)));
+  }
+
+  long bytesSent() {
+    return bytesSent;
+  }
+
+  long bytesReceived() {
+    return bytesReceived;
+  }
+
+  /** Messages that were not answered in time. */
+  long unanswered() {
+    return unanswered;
+  }
+
+  /** Whether what there is goes out without waiting for a batch to fill. */
+  void flushing(boolean now) {
+    flushing = now;
+  }
+
+  /** This controller has given a role up after that decision. */
+  void release(String standby, RoleUpdate.Release release) {
+    Link link = links.get(standby);
+    if (link != null) {
+      link.releases.add(release);
+    }
+  }
+
+  void tick() {
+    Map<String, List<ReplicationStream>> streams = new HashMap<>();
+    for (RoleEntry entry : roles.entries()) {
+      if (entry.stream != null) {
+        streams.computeIfAbsent(entry.stream.standby(), k -> new ArrayList<>()).add(entry.stream);
+      }
+    }
+    for (Link link : links.values()) {
+      List<ReplicationStream> toIt = streams.getOrDefault(link.peer.label(), List.of());
+      if (!link.sending && due(link, toIt)) {
+        send(link, toIt);
+      }
+    }
+  }
+
+  private boolean due(Link link, List<ReplicationStream> streams) {
+    if (!link.releases.isEmpty()) {
+      return true;
+    }
+    if (streams.isEmpty()) {
+      return false;
+    }
+    long since = clock.now() - link.lastSent;
+    boolean lacking = streams.stream().anyMatch(stream -> !stream.upToDate());
+    return since >= features.heartbeatMs()
+        || lacking && (since >= features.batchMs() || link.more || flushing);
+  }
+
+  private void send(Link link, List<ReplicationStream> streams) {
+    List<RoleUpdate> updates = new ArrayList<>(link.releases);
+    boolean heartbeat = clock.now() - link.lastSent >= features.heartbeatMs();
+    int left = Constants.REPLICATION_BYTES;
+    for (ReplicationStream stream : streams) {
+      if (left > 0 && (heartbeat || !stream.upToDate())) {
+        RoleUpdate update = stream.next(left);
+        updates.add(update);
+        left -= sizeOf(update);
+      }
+    }
+    byte[] body =
+        ReplicationCodec.encode(new ReplicationMessage(settings.label(), List.copyOf(updates)));
+    bytesSent += body.length;
+    link.sending = true;
+    link.more = false;
+    link.lastSent = clock.now();
+    List<RoleUpdate.Release> releases = List.copyOf(link.releases);
+    out.call(
+        link.peer.addr(),
+        "POST",
+        PATH,
+        body,
+        Constants.REPLICATION_TIMEOUT_MS,
+        (status, answer) -> answered(link, releases, status, answer));
+  }
+
+  private static int sizeOf(RoleUpdate update) {
+    if (update instanceof RoleUpdate.LogUpdate log) {
+      return log.decisions().stream().mapToInt(DecisionCodec::sizeOf).sum();
+    } else if (update instanceof RoleUpdate.SnapshotPart part) {
+      return part.decisions().stream().mapToInt(DecisionCodec::sizeOf).sum();
+    }
+    return 0;
+  }
+
+  private void answered(Link link, List<RoleUpdate.Release> releases, int status, byte[] body) {
+    link.sending = false;
+    // A release is a hint that is told once; the claim's end in the state service is what counts.
+    link.releases.removeAll(releases);
+    ReplicationMessage.Answer answer = null;
+    try {
+      answer = status == 200 ? ReplicationCodec.decodeAnswer(body) : null;
+    } catch (IOException | RuntimeException e) {
+      // Whatever it was, it acknowledges nothing.
+    }
+    if (answer == null || !answer.sender().equals(link.peer.label())) {
+      unanswered++;
+      return;
+    }
+    for (RoleAck ack : answer.acks()) {
+      acknowledge(link, ack);
+    }
+  }
+
+  private void acknowledge(Link link, RoleAck ack) {
+    RoleEntry entry = roles.entry(ack.role());
+    ReplicationStream stream = entry == null ? null : entry.stream;
+    if (stream != null && stream.standby().equals(link.peer.label())) {
+      // Only what did not fit into the message goes on at once; new decisions make a new batch.
+      link.more |= stream.acknowledge(ack);
+    }
+  }
+
+  /** A sibling's message; answered with how far this controller is. */
+  void receive(long request, byte[] body) {
+    ReplicationMessage message;
+    try {
+      message = ReplicationCodec.decode(body);
+    } catch (IOException | RuntimeException e) {
+      message = null;
+    }
+    if (message == null || !links.containsKey(message.sender())) {
+      out.answer(request, 400, Json.bytes(Json.object().put("error", "no replication message")));
+      return;
+    }
+    bytesReceived += body.length;
+    List<RoleAck> acks = new ArrayList<>();
+    for (RoleUpdate update : message.updates()) {
+      acks.add(receive(update));
+    }
+    byte[] answer = ReplicationCodec.encode(new ReplicationMessage.Answer(settings.label(), acks));
+    out.answer(request, 200, answer);
+  }
+
+  private RoleAck receive(RoleUpdate update) {
+    RoleEntry entry = roles.entry(update.role());
+    if (entry == null) {
+      return new RoleAck(update.role(), 0, RoleAck.NEEDS_SNAPSHOT, 0);
+    }
+    if (entry.active() && entry.log.epoch() >= update.epoch()) {
+      roles.counters().outdated++;
+      return new RoleAck(update.role(), entry.log.epoch(), RoleAck.NEEDS_SNAPSHOT, 0);
+    }
+    if (update instanceof RoleUpdate.Release) {
+      store.refresh(); // to see the claim's end, which is what counts
+    }
+    return roles.replica(entry).receive(update, clock.now());
+  }
+}
--- /dev/null
+++ b/src/main/java/org/baygw/control/standby/StandbyService.java
@@ -0,0 +1,275 @@
+package org.baygw.control.standby;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.baygw.control.config.Features;
+import org.baygw.control.config.Settings;
+import org.baygw.control.core.Clock;
+import org.baygw.control.core.Json;
+import org.baygw.control.core.MetricsSink;
+import org.baygw.control.core.Outbox;
+import org.baygw.control.core.Replication;
+import org.baygw.control.membership.Membership;
+import org.baygw.control.model.Partition;
+import org.baygw.control.model.TaskId;
+import org.baygw.control.store.StateCache;
+import org.baygw.control.store.Store;
+import org.roaringbitmap.RoaringBitmap;
+
+/**
+ * Warm standby, as the rest of a controller knows it: it takes the decisions of active roles, gives
+ * a successor what was known before, fences orders, and hands roles over on request.
+ */
+public final class StandbyService implements Replication {
+  /** The path on which siblings replicate. */
+  public static final String PATH = Replicator.PATH;
+
+  private static final String STATUS = "/admin/v1/standby";
+  private static final String HANDOVER = "/admin/v1/handover";
+
+  private final Clock clock;
+  private final Outbox out;
+  private final Membership membership;
+  private final RoleTable roles;
+  private final Replicator replicator;
+  private final Handover handover;
+  private final EmissionFence fence;
+  private final StandbyReport report;
+
+  public StandbyService(
+      Clock clock,
+      Outbox out,
+      Settings settings,
+      Features.Standby features,
+      Store store,
+      StateCache view,
+      Membership membership) {
+    this.clock = clock;
+    this.out = out;
+    this.membership = membership;
+    this.roles = new RoleTable(clock, settings, features, membership, view);
+    this.replicator = new Replicator(clock, out, settings, features, store, roles);
+    this.handover = new Handover(clock, membership, new HandedOver());
+    this.fence = new EmissionFence(membership::leaseValidUntil, handover::releasing);
+    this.report = new StandbyReport(clock, membership, roles, replicator, handover, fence);
+  }
+
+  /** An input is about to be handled. */
+  public void input(long now) {
+    fence.input(now);
+  }
+
+  /** Whether orders to workers that were decided then are not to be sent now. */
+  public boolean withholds(long decidedAt, long now) {
+    return fence.withholds(decidedAt, now);
+  }
+
+  /** Time has passed, or something has changed. */
+  public void tick() {
+    roles.tick();
+    handover.tick();
+    replicator.flushing(handover.phase() == Handover.Phase.FLUSHING);
+    replicator.tick();
+  }
+
+  /** Another controller's replication message. */
+  public void receive(long request, byte[] body) {
+    replicator.receive(request, body);
+  }
+
+  /** The process is to end: roles go to the standbys first. */
+  public void beginToEnd() {
+    handover.beginToEnd();
+  }
+
+  /** Whether the process may end without anybody waiting for its lease. */
+  public boolean ended() {
+    return handover.ended();
+  }
+
+  public void register(MetricsSink sink) {
+    report.register(sink);
+  }
+
+  /** Handles an operator's request if it is one of this subsystem's. */
+  public boolean handle(long request, String method, String path) {
+    if (path.equals(STATUS)) {
+      answer(request, method.equals("GET") ? 200 : 405, report.page());
+      return true;
+    }
+    if (!path.equals(HANDOVER)) {
+      return false;
+    }
+    switch (method) {
+      case "POST" -> beginHandover(request);
+      case "DELETE" -> {
+        handover.cancel();
+        answer(request, 200, report.page());
+      }
+      default -> answer(request, 405, Json.object().put("error", "wrong method"));
+    }
+    return true;
+  }
+
+  private void beginHandover(long request) {
+    if (membership.othersStay()) {
+      handover.begin();
+      answer(request, 202, report.page());
+    } else {
+      answer(request, 409, Json.object().put("error", "no other controller could take the roles"));
+    }
+  }
+
+  private void answer(long request, int status, ObjectNode body) {
+    ObjectNode page = status == 405 ? Json.object().put("error", "wrong method") : body;
+    out.answer(request, status, Json.bytes(page));
+  }
+
+  /** What a handover needs of logs and streams. */
+  private final class HandedOver implements Handover.Roles {
+    /** Roles that are being released: their entries forget it when the claims are gone. */
+    private final Map<String, List<RoleUpdate.Release>> releases = new HashMap<>();
+
+    @Override
+    public boolean upToDate() {
+      releases.clear();
+      boolean all = true;
+      for (RoleEntry entry : roles.entries()) {
+        if (entry.stream != null) {
+          all &= entry.stream.upToDate();
+          releases
+              .computeIfAbsent(entry.stream.standby(), k -> new ArrayList<>())
+              .add(new RoleUpdate.Release(entry.role, entry.log.epoch(), entry.log.last()));
+        }
+      }
+      return all;
+    }
+
+    @Override
+    public void released() {
+      releases.forEach((standby, list) -> list.forEach(r -> replicator.release(standby, r)));
+      releases.clear();
+    }
+  }
+
+  private void append(Partition partition, Decision decision) {
+    DecisionLog log = roles.log(partition);
+    if (log != null) {
+      log.append(decision);
+    }
+  }
+
+  private void append(Decision decision) {
+    DecisionLog log = roles.leaderLog();
+    if (log != null) {
+      log.append(decision);
+    }
+  }
+
+  @Override
+  public void sessionKnown(Partition partition, String machine, String address, long session) {
+    append(partition, new Decision.SessionKnown(machine, address, session));
+  }
+
+  @Override
+  public void launched(Partition partition, String machine, TaskId task) {
+    RoaringBitmap tasks = RoaringBitmap.bitmapOf(task.index());
+    append(partition, new Decision.TasksLaunched(machine, task.job(), tasks, clock.wall()));
+  }
+
+  @Override
+  public void ended(Partition partition, String machine, TaskId task) {
+    RoaringBitmap tasks = RoaringBitmap.bitmapOf(task.index());
+    append(partition, new Decision.TasksEnded(machine, task.job(), tasks));
+  }
+
+  @Override
+  public void failed(Partition partition, String machine, String job) {
+    append(partition, new Decision.TasksFailed(machine, job, 1));
+  }
+
+  @Override
+  public void completed(Partition partition, String machine) {
+    append(partition, new Decision.TaskCompleted(machine));
+  }
+
+  @Override
+  public void sick(Partition partition, String machine) {
+    append(partition, new Decision.MachineSick(machine));
+  }
+
+  @Override
+  public void gone(Partition partition, String machine) {
+    append(partition, new Decision.MachineGone(machine));
+  }
+
+  @Override
+  public void waiting(String job) {
+    append(new Decision.JobWaiting(job, clock.wall()));
+  }
+
+  @Override
+  public void served(String job) {
+    append(new Decision.JobServed(job));
+  }
+
+  @Override
+  public void granted(String job, Collection<Integer> tasks) {
+    append(new Decision.TasksGranted(job, bitmap(tasks), clock.wall()));
+  }
+
+  @Override
+  public void grantsEnded(String job, Collection<Integer> tasks) {
+    append(new Decision.GrantsEnded(job, bitmap(tasks)));
+  }
+
+  @Override
+  public void capacityRefused(String type, String zone, boolean spot, long forMs) {
+    append(new Decision.CapacityRefused(type, zone, spot, clock.wall() + forMs));
+  }
+
+  private static RoaringBitmap bitmap(Collection<Integer> tasks) {
+    RoaringBitmap bitmap = new RoaringBitmap();
+    tasks.forEach(bitmap::add);
+    return bitmap;
+  }
+
+  @Override
+  public InheritedWorker inherited(Partition partition, String machine) {
+    DecisionLog log = roles.log(partition);
+    MachineState known = log == null ? null : log.state().machines().get(machine);
+    if (known == null) {
+      return null;
+    }
+    Map<TaskId, Long> ages = new HashMap<>();
+    known.launched().forEach((job, tasks) -> Reconciliation.ages(job, tasks, clock.wall(), ages));
+    return new InheritedWorker(
+        known.address(), known.session(), ages, Map.copyOf(known.failures()), known.sick());
+  }
+
+  @Override
+  public InheritedQueue inheritedQueue() {
+    DecisionLog log = roles.leaderLog();
+    if (log == null) {
+      return null;
+    }
+    long now = clock.wall();
+    RoleState state = log.state();
+    Map<String, Long> waiting = new HashMap<>();
+    state.waitingSinceMs().forEach((job, since) -> waiting.put(job, Math.max(0, now - since)));
+    Map<TaskId, Long> granted = new HashMap<>();
+    state.grants().forEach((job, tasks) -> Reconciliation.ages(job, tasks, now, granted));
+    List<RefusedCapacity> refused = new ArrayList<>();
+    state
+        .refusedUntilMs()
+        .forEach(
+            (kind, until) ->
+                refused.add(
+                    new RefusedCapacity(kind.type(), kind.zone(), kind.spot(), until - now)));
+    return new InheritedQueue(waiting, granted, refused);
+  }
+}
--- a/src/main/java/org/baygw/control/store/StateCache.java
+++ b/src/main/java/org/baygw/control/store/StateCache.java
@@ -38,8 +38,11 @@
   /** Who holds a claim. */
   public record Claim(String owner, long hold) {}
 
-  /** A live controller; one that does not reach its workers leaves the partitions to others. */
-  public record Member(String zone, long hold, boolean reaches) {}
+  /**
+   * A live controller; one that does not reach its workers leaves the partitions to others, and one
+   * that is leaving leaves all roles to them.
+   */
+  public record Member(String zone, long hold, boolean reaches, boolean leaving) {}
 
   /** A machine on its way out. */
   public enum Drain {
@@ -359,7 +362,8 @@
                   : new Member(
                       v.path("zone").asText(),
                       v.path("hold").asLong(),
-                      v.path("reaches").asBoolean(true)),
+                      v.path("reaches").asBoolean(true),
+                      v.path("leaving").asBoolean(false)),
               stamp);
       case "rent" -> set(rentals, id, v == null ? null : Records.rental(v), stamp);
       case "drain" -> {
--- a/src/main/java/org/baygw/control/workers/FirstFitPlacer.java
+++ b/src/main/java/org/baygw/control/workers/FirstFitPlacer.java
@@ -11,6 +11,7 @@
 import org.baygw.control.Constants;
 import org.baygw.control.config.Settings;
 import org.baygw.control.core.Clock;
+import org.baygw.control.core.Replication;
 import org.baygw.control.model.Job;
 import org.baygw.control.model.JobSpec;
 import org.baygw.control.model.Machine;
@@ -52,14 +53,15 @@
       Settings settings,
       StateCache view,
       Map<String, WorkerSession> sessions,
-      ConsolidationRound rounds) {
+      ConsolidationRound rounds,
+      Replication replication) {
     this.clock = clock;
     this.settings = settings;
     this.view = view;
     this.sessions = sessions;
     this.rounds = rounds;
     this.rooms = new CapacityCache(view);
-    this.failures = new TaskFailures(clock, view);
+    this.failures = new TaskFailures(clock, view, replication);
   }
 
   /** What is learnt from tasks that fail. */
--- a/src/main/java/org/baygw/control/workers/PartitionWriter.java
+++ b/src/main/java/org/baygw/control/workers/PartitionWriter.java
@@ -432,7 +432,7 @@
         }
       }
       rounds.drop(t);
-      d.after.add(() -> placer.failures().learn(a, t, end.getValue()));
+      d.after.add(() -> placer.failures().learn(part, a, t, end.getValue()));
     }
     Machine.Condition wanted = a.condition == null ? m.condition() : a.condition;
     String condition = wanted == Machine.Condition.OK ? null : wanted.name();
--- a/src/main/java/org/baygw/control/workers/TaskFailures.java
+++ b/src/main/java/org/baygw/control/workers/TaskFailures.java
@@ -4,7 +4,9 @@
 import java.util.Map;
 import org.baygw.control.Constants;
 import org.baygw.control.core.Clock;
+import org.baygw.control.core.Replication;
 import org.baygw.control.model.Job;
+import org.baygw.control.model.Partition;
 import org.baygw.control.model.TaskId;
 import org.baygw.control.store.StateCache;
 
@@ -26,10 +28,12 @@
 
   private final Clock clock;
   private final StateCache view;
+  private final Replication replication;
   private final Map<String, Backoff> backoffs = new HashMap<>();
 
-  TaskFailures(Clock clock, StateCache view) {
+  TaskFailures(Clock clock, StateCache view, Replication replication) {
     this.clock = clock;
+    this.replication = replication;
     this.view = view;
   }
 
@@ -46,17 +50,24 @@
   }
 
   /** A task has ended on a machine. */
-  void learn(WorkerSession worker, TaskId task, TerminationEvidence.End end) {
+  void learn(Partition partition, WorkerSession worker, TaskId task, TerminationEvidence.End end) {
     WorkerCodec.Seen seen = worker.seen.get(task);
     if (end == TerminationEvidence.End.DONE) {
+      if (!worker.failures.isEmpty()) {
+        replication.completed(partition, worker.name);
+      }
       worker.failures.clear();
       backoffs.remove(task.job());
     } else if (seen != null
         && seen.state() == WorkerCodec.State.ENDED
         && seen.cause() == WorkerCodec.Cause.ERROR) {
       worker.failures.merge(task.job(), 1, Integer::sum);
+      replication.failed(partition, worker.name, task.job());
       backOff(task.job(), worker.name);
-      worker.sick |= isSick(worker);
+      if (!worker.sick && isSick(worker)) {
+        worker.sick = true;
+        replication.sick(partition, worker.name);
+      }
     }
   }
 
--- a/src/main/java/org/baygw/control/workers/WorkerCommands.java
+++ b/src/main/java/org/baygw/control/workers/WorkerCommands.java
@@ -9,6 +9,7 @@
 import org.baygw.control.core.Clock;
 import org.baygw.control.core.Json;
 import org.baygw.control.core.Outbox;
+import org.baygw.control.core.Replication;
 import org.baygw.control.membership.CancellationWatermark;
 import org.baygw.control.model.Job;
 import org.baygw.control.model.JobSpec;
@@ -33,8 +34,13 @@
   private final FirstFitPlacer placer;
   private final ConsolidationRound rounds;
   private final CancellationWatermark watermark;
+  private final Replication replication;
   private final Heard heard;
   private long stalledAt;
+
+  /** Introductions that may still be made in this step. */
+  private int introductions;
+
   private final Histogram launchMs =
       new Histogram(Constants.HISTOGRAM_MAX_MS, Constants.HISTOGRAM_DIGITS);
 
@@ -47,7 +53,9 @@
       FirstFitPlacer placer,
       ConsolidationRound rounds,
       CancellationWatermark watermark,
+      Replication replication,
       Heard heard) {
+    this.replication = replication;
     this.clock = clock;
     this.out = out;
     this.settings = settings;
@@ -68,6 +76,11 @@
     return a.deaf() || a.unanswered && clock.now() - heardAt(a) > reports;
   }
 
+  /** A step of the clock begins. */
+  void step() {
+    introductions = Constants.INTRODUCTIONS_A_STEP;
+  }
+
   /** This controller fell behind: what workers said meanwhile may still wait to be read. */
   void stalled() {
     stalledAt = clock.now();
@@ -84,6 +97,9 @@
    */
   void ask(WorkerSession a) {
     long now = clock.now();
+    if (a.expectedSession > 0 && introduce(a)) {
+      return;
+    }
     boolean quiet = now - heardAt(a) > Constants.ASK_REPORTS * settings.workers().reportS() * 1000;
     if (a.asking
         || a.directBusy
@@ -108,11 +124,32 @@
           }
           heard.heard(a, body);
           if (!a.trusted() && a.session > 0) {
-            direct(a, List.of());
+            direct(a, a.session, List.of());
           }
         });
   }
 
+  /**
+   * Shows a worker the token of this owner's claim at once, in the session that its former owner
+   * knew: from then on it heeds no other, and what it reports is proof. False where that is to
+   * wait, or the worker has been heard already.
+   */
+  private boolean introduce(WorkerSession a) {
+    if (a.lastHeard > 0 || a.directBusy || a.addr.isEmpty()) {
+      a.expectedSession = 0;
+      return false;
+    }
+    if (introductions == 0) {
+      return true;
+    }
+    introductions--;
+    long session = a.expectedSession;
+    a.expectedSession = 0;
+    a.introducing = true;
+    direct(a, session, List.of());
+    return true;
+  }
+
   /** The commands that go with the answer to a report. */
   List<WorkerCodec.Order> reply(WorkerSession a, Machine m, PartitionWriter l, long tick) {
     List<WorkerCodec.Order> orders = orders(a, m, l, true);
@@ -132,7 +169,7 @@
     }
     List<WorkerCodec.Order> orders = orders(a, m, l, false);
     if (!orders.isEmpty()) {
-      direct(a, orders);
+      direct(a, a.session, orders);
     }
   }
 
@@ -226,7 +263,7 @@
     return spec.estimateS() - run > left * Constants.NOTICE_SLACK;
   }
 
-  private void direct(WorkerSession a, List<WorkerCodec.Order> orders) {
+  private void direct(WorkerSession a, long session, List<WorkerCodec.Order> orders) {
     long token = a.token();
     List<TaskId> launches = new ArrayList<>();
     for (WorkerCodec.Order o : orders) {
@@ -236,17 +273,18 @@
       }
     }
     a.directBusy = true;
-    out.call(
+    out.orders(
         a.addr,
-        "POST",
         "/orders",
-        Json.bytes(WorkerCodec.direct(token, a.session, orders)),
+        Json.bytes(WorkerCodec.direct(token, session, orders)),
         Constants.ORDERS_TIMEOUT_MS,
         (status, body) -> answered(a, launches, status, body));
   }
 
   private void answered(WorkerSession a, List<TaskId> launches, int status, byte[] body) {
     a.directBusy = false;
+    boolean introduced = a.introducing;
+    a.introducing = false;
     boolean certain = status == 200 || status == 409 || status == 400 || status == Outbox.NOT_SENT;
     if (certain) {
       for (TaskId t : launches) {
@@ -266,11 +304,19 @@
     if (status == 200 || status == 409) {
       heard.heard(a, body);
     }
+    if (introduced && status == 409 && !a.trusted() && a.session > 0 && !a.directBusy) {
+      direct(a, a.session, List.of()); // the session was another one than the former owner knew
+    }
   }
 
   private void launched(WorkerSession a, TaskId t) {
     StateCache.Entry<Job> j = view.jobs.get(t.job());
-    if (a.launched.put(t, clock.now()) == null && j != null) {
+    boolean first = a.launched.put(t, clock.now()) == null;
+    StateCache.Entry<Machine> machine = view.machines.get(a.name);
+    if (first && machine != null) {
+      replication.launched(machine.value().part(), a.name, t);
+    }
+    if (first && j != null) {
       long waited = Math.max(0, clock.wall() - j.value().acceptedMs());
       launchMs.recordValue(Math.min(waited, Constants.HISTOGRAM_MAX_MS));
     }
--- a/src/main/java/org/baygw/control/workers/WorkerSession.java
+++ b/src/main/java/org/baygw/control/workers/WorkerSession.java
@@ -28,6 +28,13 @@
   int raises;
   String addr = "";
   long session;
+
+  /** The session that a former owner knew of, until this owner has asked; 0: none. */
+  long expectedSession;
+
+  /** This owner is showing the worker its token for the first time. */
+  boolean introducing;
+
   long tick;
   long seenToken;
   long lastHeard;
--- a/src/main/java/org/baygw/control/workers/Workers.java
+++ b/src/main/java/org/baygw/control/workers/Workers.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -14,6 +15,7 @@
 import org.baygw.control.core.Clock;
 import org.baygw.control.core.Json;
 import org.baygw.control.core.Outbox;
+import org.baygw.control.core.Replication;
 import org.baygw.control.membership.CancellationWatermark;
 import org.baygw.control.membership.Membership;
 import org.baygw.control.model.Machine;
@@ -43,6 +45,7 @@
   private final StateCache view;
   private final Membership membership;
   private final CancellationWatermark watermark;
+  private final Replication replication;
   private final Map<String, WorkerSession> sessions = new HashMap<>();
   private final Map<Partition, PartitionWriter> writers = new HashMap<>();
 
@@ -68,7 +71,9 @@
       StateCache view,
       Membership membership,
       CancellationWatermark watermark,
-      Cloud cloud) {
+      Cloud cloud,
+      Replication replication) {
+    this.replication = replication;
     this.watermark = watermark;
     this.clock = clock;
     this.out = out;
@@ -81,10 +86,19 @@
     this.deadline =
         new CancellationDeadline(
             clock, settings, view, membership, evidence, cloud, watermark, this::owned);
-    this.placer = new FirstFitPlacer(clock, settings, view, sessions, rounds);
+    this.placer = new FirstFitPlacer(clock, settings, view, sessions, rounds, replication);
     this.commands =
         new WorkerCommands(
-            clock, out, settings, view, evidence, placer, rounds, watermark, this::heard);
+            clock,
+            out,
+            settings,
+            view,
+            evidence,
+            placer,
+            rounds,
+            watermark,
+            replication,
+            this::heard);
   }
 
   /** A worker's report. */
@@ -104,7 +118,7 @@
       return;
     }
     reachability.heard(r.zone());
-    Partition part = Partition.of(r.machine(), r.zone(), view.partitionsPerZone());
+    Partition part = partitionOf(r);
     long claim = membership.owned(part);
     if (claim == 0) {
       String owner = membership.owner(part);
@@ -149,7 +163,7 @@
     a.lastAnswered = clock.now();
     a.leaseOver = false;
     a.answeredToken = a.token();
-    out.answer(request, 200, Json.bytes(WorkerCodec.response(a.token(), orders)));
+    out.answerOrders(request, Json.bytes(WorkerCodec.response(a.token(), orders)));
   }
 
   public void tick() {
@@ -164,6 +178,7 @@
     }
     lastTick = now;
     reachability.tick();
+    commands.step();
     boolean whole = now >= nextPass;
     if (whole || view.changes() != seenChanges) {
       seenChanges = view.changes();
@@ -204,7 +219,9 @@
     }
     PartitionWriter l = writer(m.part(), claim);
     if (view.drains.get(name) == StateCache.Drain.GONE) {
-      buried.add(name);
+      if (buried.add(name)) {
+        replication.gone(m.part(), name);
+      }
       l.dirty(name);
       return;
     }
@@ -331,10 +348,29 @@
       // Nothing known under another claim may count as proof under this one.
       a = new WorkerSession(machine, claim, clock.now());
       sessions.put(machine, a);
+      inherit(a);
     }
     return a;
   }
 
+  /**
+   * Takes over what the partition's former owner knew of a worker, as far as that proves nothing:
+   * how to reach it, since when its tasks run, and what failed there.
+   */
+  private void inherit(WorkerSession a) {
+    StateCache.Entry<Machine> machine = view.machines.get(a.name);
+    Replication.InheritedWorker known =
+        machine == null ? null : replication.inherited(machine.value().part(), a.name);
+    if (known == null) {
+      return;
+    }
+    a.addr = known.address();
+    a.expectedSession = known.session();
+    known.launchedAgoMs().forEach((task, ago) -> a.launched.put(task, clock.now() - ago));
+    a.failures.putAll(known.failures());
+    a.sick = known.sick();
+  }
+
   private PartitionWriter writer(Partition p, long claim) {
     PartitionWriter l = writers.get(p);
     if (l == null || l.claim != claim) {
@@ -378,8 +414,13 @@
     store.refresh();
   }
 
+  private Partition partitionOf(WorkerCodec.Report r) {
+    return Partition.of(r.machine(), r.zone(), view.partitionsPerZone());
+  }
+
   /** Takes in a report, from wherever it came. */
   private void take(WorkerSession a, WorkerCodec.Report r, boolean checkin) {
+    boolean moved = r.session() != a.session || !r.addr().equals(a.addr);
     if (r.session() > a.session) {
       a.flights.clear(); // commands of an earlier session are refused
       a.killed.clear();
@@ -403,7 +444,16 @@
     a.noticeUntil = r.noticeS() == null ? 0 : clock.now() + (long) (r.noticeS() * 1000);
     a.endFlights(checkin);
     a.killed.keySet().retainAll(r.tasks().keySet());
-    a.launched.keySet().removeIf(t -> !r.tasks().containsKey(t) && !a.flights.containsKey(t));
+    if (moved) {
+      replication.sessionKnown(partitionOf(r), a.name, a.addr, a.session);
+    }
+    for (Iterator<TaskId> it = a.launched.keySet().iterator(); it.hasNext(); ) {
+      TaskId task = it.next();
+      if (!r.tasks().containsKey(task) && !a.flights.containsKey(task)) {
+        it.remove();
+        replication.ended(partitionOf(r), a.name, task);
+      }
+    }
   }
 
   /**
@@ -414,7 +464,7 @@
     if (a.busy || !a.trusted()) {
       return;
     }
-    Partition part = Partition.of(r.machine(), r.zone(), view.partitionsPerZone());
+    Partition part = partitionOf(r);
     Machine m =
         new Machine(
             r.machine(),
@@ -444,7 +494,7 @@
       return;
     }
     if (r.token() > a.token()) {
-      overtaken(Partition.of(r.machine(), r.zone(), view.partitionsPerZone()), a, r);
+      overtaken(partitionOf(r), a, r);
     } else if (a.newer(r.session(), r.tick()) && !a.leaseOver) {
       a.unheeded = 0; // it answered us, so it hears us
       take(a, r, false);
--- a/src/test/java/org/baygw/control/sim/FailoverMeasurement.java
+++ b/src/test/java/org/baygw/control/sim/FailoverMeasurement.java
@@ -11,10 +11,12 @@
 
 /**
  * Where the time from a controller's death to its successor's first order goes, in simulated time.
- * Not part of the build: {@code mvn test -Dtest=FailoverMeasurement [-Dkills=100]}.
+ * Not part of the build: {@code mvn test -Dtest=FailoverMeasurement [-Dkills=100]
+ * [-Dstandby=true]}.
  */
 final class FailoverMeasurement {
   private static final int KILLS = Integer.getInteger("kills", 100);
+  private static final boolean STANDBY = Boolean.getBoolean("standby");
   private static final long MAX_MS = 120_000;
   private static final String PARTITIONS = "partition owner";
 
@@ -76,6 +78,7 @@
         Locale.ROOT,
         """
         seed %d
+        %s
         zones a b
         machines zone=a count=12
         machines zone=b count=8
@@ -85,6 +88,7 @@
         run 58
         """,
         seed,
+        STANDBY ? "set standby=on" : "",
         at);
   }
 
--- a/src/test/java/org/baygw/control/sim/Scenario.java
+++ b/src/test/java/org/baygw/control/sim/Scenario.java
@@ -9,12 +9,15 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
+import org.baygw.control.config.Features;
 import org.baygw.control.config.Settings;
 import org.baygw.control.core.Json;
 import org.baygw.control.core.Outbox;
 
 /** Plays one scenario file; docs/TESTING.md describes its lines. */
 final class Scenario {
+  private static final Features FEATURES = new Features(Features.Standby.DEFAULTS);
+
   private final List<String> failures = new ArrayList<>();
   private final List<String[]> setUp = new ArrayList<>();
   private final List<String[]> expectations = new ArrayList<>();
@@ -97,6 +100,34 @@
     return Math.round(Double.parseDouble(s) * 1000);
   }
 
+  /** The controller that leads by the state service, or null. */
+  private SimulatedCluster.Node leader() {
+    JsonNode claim = world.state.value("b/claim/leader");
+    return claim == null ? null : world.nodes.get(claim.path("owner").asText());
+  }
+
+  private void restart(SimulatedCluster.Node node) {
+    if (node.core != null) {
+      node.crash(); // it has not ended by itself
+    }
+    node.start();
+  }
+
+  /** Asks a controller to hand its roles over, and to take them again after some time. */
+  private void handover(String label, String method, long forMs) {
+    world.call(
+        "operator",
+        label + ":8081",
+        method,
+        "/admin/v1/handover",
+        new byte[0],
+        5_000,
+        (status, body) -> {});
+    if (forMs > 0) {
+      world.after(forMs, () -> handover(label, "DELETE", 0));
+    }
+  }
+
   private static String word(String[] w, String after, String otherwise) {
     for (int i = 0; i + 1 < w.length; i++) {
       if (w[i].equals(after)) {
@@ -138,6 +169,7 @@
                   }
                   case "value-kb" -> world.stateValueKb = Double.parseDouble(v);
                   case "backlog" -> world.state.backlog = Integer.parseInt(v);
+                  case "standby" -> world.features = FEATURES;
                   case "history" -> world.state.keepHistory(Integer.parseInt(v));
                   default -> throw new IllegalArgumentException(k);
                 }
@@ -206,20 +238,33 @@
         }
       }
       case "crash-leader" -> {
-        JsonNode claim = world.state.value("b/claim/leader");
-        if (claim == null) {
+        SimulatedCluster.Node n = leader();
+        if (n == null) {
           return; // nobody holds it just now
         }
-        SimulatedCluster.Node n = world.nodes.get(claim.path("owner").asText());
         n.crash();
         world.lastCrashAt = world.now();
         world.after(forMs, n::start);
       }
       case "freeze" -> world.nodes.get(w[3]).freeze(forMs);
+      case "freeze-leader-sending" -> {
+        SimulatedCluster.Node leader = leader();
+        if (leader != null) {
+          leader.freezeBeforeOrders(forMs);
+        }
+      }
+      case "terminate" -> {
+        SimulatedCluster.Node node = w[3].equals("leader") ? leader() : world.nodes.get(w[3]);
+        if (node != null) {
+          node.terminate();
+          world.after(forMs, () -> restart(node));
+        }
+      }
+      case "handover" -> handover(w[3], "POST", forMs);
       case "freeze-leader" -> {
-        JsonNode claim = world.state.value("b/claim/leader");
-        if (claim != null) {
-          world.nodes.get(claim.path("owner").asText()).freeze(forMs);
+        SimulatedCluster.Node leader = leader();
+        if (leader != null) {
+          leader.freeze(forMs);
         }
       }
       case "cut" -> {
@@ -582,6 +627,11 @@
   /** How much was used, and what the controllers' cores did: it may not grow unnoticed. */
   private void expectWork(String[] w) {
     switch (w[1]) {
+      case "stale-orders-at-most" -> {
+        if (world.staleOrders > Integer.parseInt(w[2])) {
+          failures.add(world.staleOrders + " orders of processes that had been replaced");
+        }
+      }
       case "machines-used-at-least" -> {
         if (world.checker.machinesUsed.size() < Integer.parseInt(w[2])) {
           failures.add("only " + world.checker.machinesUsed.size() + " machines had a task");
--- a/src/test/java/org/baygw/control/sim/SimulatedCluster.java
+++ b/src/test/java/org/baygw/control/sim/SimulatedCluster.java
@@ -10,7 +10,9 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.TreeMap;
+import org.baygw.control.Constants;
 import org.baygw.control.Controller;
+import org.baygw.control.config.Features;
 import org.baygw.control.config.Settings;
 import org.baygw.control.core.Json;
 import org.baygw.control.core.Outbox;
@@ -26,6 +28,9 @@
   static final int REPORT_MS = 2_000;
   static final long TIME_BOUND_MS = 100;
 
+  /** For how long after a freeze a process counts as just woken. */
+  private static final long WOKEN_MS = 300;
+
   private record Event(long at, long order, Runnable action) {}
 
   /** What happens to messages of one direction between two hosts. */
@@ -59,9 +64,15 @@
   /** Until when workers' reports reach no controller, while direct commands are answered. */
   private final Map<String, Long> mute = new HashMap<>();
 
+  /** Orders that woken processes sent after others had replaced them. */
+  int staleOrders;
+
   /** When a scenario last ended the leader's controller. */
   long lastCrashAt;
 
+  /** Which optional subsystems controllers run with. */
+  Features features = Features.NONE;
+
   long leaseMs = 10_000;
   long cancelMs = 35_000;
   double stateRps = 400;
@@ -86,6 +97,8 @@
     Controller core;
     int life;
     private long frozenUntil;
+    private long freezeBeforeOrdersMs;
+    private long awakeAt = Long.MIN_VALUE;
     private boolean stepDue;
     private long lastStep;
     private Settings settings;
@@ -101,10 +114,11 @@
     void start() {
       life++;
       frozenUntil = 0;
+      freezeBeforeOrdersMs = 0;
       stepDue = false;
       pending.clear();
       settings = settingsOf(this);
-      core = new Controller(settings);
+      core = new Controller(settings, features);
       int mine = life;
       ticks(mine);
     }
@@ -128,7 +142,7 @@
     private void step() {
       stepDue = false;
       lastStep = now;
-      carryOut(work.measure("tick", () -> core.tick(now, wall())));
+      carryOut(work.measure("tick", () -> core.tick(now, wall())), now);
     }
 
     /** One step follows all outcomes that come at the same time. */
@@ -145,6 +159,35 @@
      */
     void freeze(long forMs) {
       frozenUntil = now + forMs;
+      awakeAt = frozenUntil;
+    }
+
+    /**
+     * The process stands still between deciding and sending, the next time that it has decided on
+     * orders to workers.
+     */
+    void freezeBeforeOrders(long forMs) {
+      freezeBeforeOrdersMs = forMs;
+    }
+
+    /** The process is asked to end, hands its roles over and is gone. */
+    void terminate() {
+      if (core == null) {
+        return;
+      }
+      core.beginToEnd();
+      awaitEnd(life, now + Constants.HANDOVER_MOST_MS);
+    }
+
+    private void awaitEnd(int mine, long until) {
+      if (core == null || life != mine) {
+        return;
+      }
+      if (core.ended() || now >= until) {
+        crash();
+      } else {
+        after(Constants.TICK_MS, () -> awaitEnd(mine, until));
+      }
     }
 
     private void whenAwake(int mine, Runnable action) {
@@ -180,39 +223,77 @@
                       () ->
                           peer
                               ? core.peerRequest(now, wall(), id, method, path, body)
-                              : core.request(now, wall(), id, method, path, body))));
+                              : core.request(now, wall(), id, method, path, body)),
+                  now));
     }
 
-    private void carryOut(List<Outbox.Effect> effects) {
-      int mine = life;
-      for (Outbox.Effect e : effects) {
-        if (e instanceof Outbox.Answer a) {
-          StateServiceStub.Respond r = pending.remove(a.request());
-          if (r != null) {
-            r.done(a.status(), a.body());
-          }
-        } else if (e instanceof Outbox.Call c) {
-          String path = c.path();
-          call(
-              label,
-              c.addr(),
-              c.method(),
-              path,
-              c.body(),
-              c.timeoutMs(),
-              (status, body) ->
-                  whenAwake(
-                      mine,
-                      () -> {
-                        carryOut(
-                            work.measure(
-                                WorkMeter.kind(c.addr(), path),
-                                () -> core.outcome(now, wall(), c.then(), status, body)));
-                        stepSoon();
-                      }));
+    private void carryOut(List<Outbox.Effect> effects, long decidedAt) {
+      if (freezeBeforeOrdersMs > 0 && effects.stream().anyMatch(Node::orders)) {
+        freeze(freezeBeforeOrdersMs);
+        freezeBeforeOrdersMs = 0;
+        whenAwake(life, () -> carryOut(effects, decidedAt));
+        return;
+      }
+      for (Outbox.Effect effect : effects) {
+        boolean withheld = orders(effect) && core.withholds(decidedAt, now);
+        if (orders(effect) && !withheld) {
+          noteOrders(effect);
         }
+        if (effect instanceof Outbox.Answer answer) {
+          respond(withheld ? Outbox.Answer.withheld(answer.request()) : answer);
+        } else if (effect instanceof Outbox.Call call && withheld) {
+          int mine = life;
+          after(0, () -> finish(mine, call, Outbox.NOT_SENT, new byte[0]));
+        } else if (effect instanceof Outbox.Call call) {
+          send(call);
+        }
+      }
+    }
+
+    private static boolean orders(Outbox.Effect effect) {
+      return effect instanceof Outbox.Answer answer && answer.orders()
+          || effect instanceof Outbox.Call call && call.orders();
+    }
+
+    /** Counts orders that a process which has just woken sends after others have replaced it. */
+    private void noteOrders(Outbox.Effect effect) {
+      boolean woken = now >= awakeAt && now - awakeAt <= WOKEN_MS;
+      if (woken && !state.holds(label)) {
+        staleOrders++;
       }
     }
+
+    private void respond(Outbox.Answer answer) {
+      StateServiceStub.Respond respond = pending.remove(answer.request());
+      if (respond != null) {
+        respond.done(answer.status(), answer.body());
+      }
+    }
+
+    private void send(Outbox.Call c) {
+      int mine = life;
+      call(
+          label,
+          c.addr(),
+          c.method(),
+          c.path(),
+          c.body(),
+          c.timeoutMs(),
+          (status, body) -> finish(mine, c, status, body));
+    }
+
+    private void finish(int mine, Outbox.Call c, int status, byte[] body) {
+      whenAwake(
+          mine,
+          () -> {
+            carryOut(
+                work.measure(
+                    WorkMeter.kind(c.addr(), c.path()),
+                    () -> core.outcome(now, wall(), c.then(), status, body)),
+                now);
+            stepSoon();
+          });
+    }
   }
 
   SimulatedCluster(long seed, int controllers, List<String> zones, List<Settings.Team> teams) {
