Look at new partitions at once; the leader's successor is found without the former leader's zone after 0.6 s

Cause (thousand-machines-restart with standby on): the successor was sought in another zone than the former leader's, which only some controllers had seen, and each waited for another one: no leader for good. After 0.6 s without a leader all choose by what all see. Every scenario now plays with standby on as well (that one failed before).

--- a/src/main/java/org/baygw/control/Constants.java
+++ b/src/main/java/org/baygw/control/Constants.java
@@ -149,6 +149,12 @@
   /** ms between tries for a claim that another controller may be taking at the same moment. */
   public static final long CLAIM_RETRY_MS = 300;
 
+  /**
+   * ms without a leader after which its zone does not count any more in the choice of the next one:
+   * a claim by the first choice, and once more.
+   */
+  public static final long LEADERLESS_MS = 600;
+
   /** ms between two statuses sent to the other controllers. */
   public static final long PEER_MS = 3_000;
 
--- a/src/main/java/org/baygw/control/membership/Membership.java
+++ b/src/main/java/org/baygw/control/membership/Membership.java
@@ -46,6 +46,9 @@
   /** The zone of the latest leader that this controller has seen; empty before. */
   private String leaderZone = "";
 
+  /** Since when the copy has had no leader; 0 where it has one. */
+  private long leaderlessSince;
+
   private long nextClaim;
   private boolean claiming;
 
@@ -152,7 +155,11 @@
     Set<String> staying = staying(controllers);
     Set<String> elsewhere = new HashSet<>(staying);
     elsewhere.removeIf(label -> assignment.zoneOf(label).equals(leaderZone));
-    boolean spread = spreadsLeader && !leaderZone.isEmpty() && !elsewhere.isEmpty();
+    // Not every controller has seen the former leader, and those that have would wait for one that
+    // has not, which waits for another. So after a moment all choose by what all see.
+    boolean mayDisagree =
+        leaderlessSince != 0 && clock.now() - leaderlessSince > Constants.LEADERLESS_MS;
+    boolean spread = spreadsLeader && !mayDisagree && !leaderZone.isEmpty() && !elsewhere.isEmpty();
     return assignment.best(Keys.LEADER, "", spread ? elsewhere : staying);
   }
 
@@ -236,6 +243,7 @@
     }
     StateCache.Entry<StateCache.Claim> leader = view.claims.get(Keys.LEADER);
     leaderZone = leader == null ? leaderZone : assignment.zoneOf(leader.value().owner());
+    leaderlessSince = leader != null ? 0 : leaderlessSince == 0 ? now : leaderlessSince;
     boolean joined = lease.current() != 0;
     lease.tick();
     if (!store.loaded() || !joined) {
--- a/src/main/java/org/baygw/control/workers/Workers.java
+++ b/src/main/java/org/baygw/control/workers/Workers.java
@@ -63,6 +63,9 @@
   private long nextAll;
   private long lastTick;
 
+  /** The sum of the stamps of all partitions that this controller owned at the last step. */
+  private long ownedStamps;
+
   public Workers(
       Clock clock,
       Outbox out,
@@ -179,7 +182,7 @@
     lastTick = now;
     reachability.tick();
     commands.step();
-    boolean whole = now >= nextPass;
+    boolean whole = now >= nextPass || ownershipChanged();
     if (whole || view.changes() != seenChanges) {
       seenChanges = view.changes();
       view.takeChangedMachines().forEach(m -> lookAt(m, true));
@@ -206,6 +209,17 @@
     }
   }
 
+  /** Whether partitions came or went since the last step: new ones are looked at at once. */
+  private boolean ownershipChanged() {
+    long sum = 0;
+    for (Partition partition : membership.partitions()) {
+      sum += membership.owned(partition);
+    }
+    boolean changed = sum != ownedStamps;
+    ownedStamps = sum;
+    return changed;
+  }
+
   private void lookAt(String name, boolean all) {
     StateCache.Entry<Machine> e = view.machines.get(name);
     long claim = e == null ? 0 : membership.owned(e.value().part());
--- a/src/test/java/org/baygw/control/sim/ScenarioTest.java
+++ b/src/test/java/org/baygw/control/sim/ScenarioTest.java
@@ -30,10 +30,21 @@
     }
   }
 
+  private static String text(String name) throws IOException, URISyntaxException {
+    Path dir = Path.of(ScenarioTest.class.getResource("/scenarios").toURI());
+    return Files.readString(dir.resolve(name));
+  }
+
   @ParameterizedTest
   @MethodSource("scenarios")
   void plays(String name) throws IOException, URISyntaxException {
-    Path dir = Path.of(ScenarioTest.class.getResource("/scenarios").toURI());
-    assertEquals(List.of(), Scenario.play(Files.readString(dir.resolve(name))));
+    assertEquals(List.of(), Scenario.play(text(name)));
+  }
+
+  /** What holds without warm standby holds with it. */
+  @ParameterizedTest
+  @MethodSource("scenarios")
+  void playsWithStandby(String name) throws IOException, URISyntaxException {
+    assertEquals(List.of(), Scenario.play("set standby=on\n" + text(name)));
   }
 }
