--- a/src/test/java/org/baygw/control/sim/FailoverProbe.java
+++ b/src/test/java/org/baygw/control/sim/FailoverProbe.java
@@ -1,8 +1,10 @@
 package org.baygw.control.sim;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
@@ -37,8 +39,10 @@
 
   private final SimulatedCluster world;
   private final Map<String, String> owners = new HashMap<>();
+  private final Map<Long, String> claimants = new HashMap<>();
   private final Map<Long, Set<String>> rolesOfEpoch = new HashMap<>();
   final Map<String, Failover> latest = new TreeMap<>();
+  private final Map<String, List<Failover>> all = new TreeMap<>();
 
   FailoverProbe(SimulatedCluster world) {
     this.world = world;
@@ -46,6 +50,7 @@
 
   void claimed(String role, JsonNode claim, long stamp) {
     owners.put(role, claim.path("owner").asText());
+    claimants.put(stamp, claim.path("owner").asText());
     rolesOfEpoch.computeIfAbsent(stamp, k -> new HashSet<>()).add(role);
     Failover failover = latest.get(role);
     if (failover != null && failover.claimedAt < 0) {
@@ -58,7 +63,9 @@
     for (WorkerStub worker : world.workers.values()) {
       workers += world.partitionOf(worker).equals(role) ? 1 : 0;
     }
-    latest.put(role, new Failover(owners.remove(role), world.now(), workers));
+    Failover failover = new Failover(owners.remove(role), world.now(), workers);
+    latest.put(role, failover);
+    all.computeIfAbsent(role, k -> new ArrayList<>()).add(failover);
   }
 
   /** The leader under this epoch made a grant durable. */
@@ -88,6 +95,23 @@
     }
   }
 
+  /** Who made the claims of an epoch; null where there were none. */
+  String claimant(long epoch) {
+    return claimants.get(epoch);
+  }
+
+  /** Each role's first change of owner since then. */
+  Map<String, Failover> firstSince(long since) {
+    Map<String, Failover> found = new TreeMap<>();
+    all.forEach(
+        (role, failovers) ->
+            failovers.stream()
+                .filter(failover -> failover.freedAt >= since)
+                .findFirst()
+                .ifPresent(failover -> found.put(role, failover)));
+    return found;
+  }
+
   /** Who holds a role, as the state service has it; null where nobody does. */
   String owner(String role) {
     return owners.get(role);
--- a/src/test/java/org/baygw/control/sim/InvariantChecker.java
+++ b/src/test/java/org/baygw/control/sim/InvariantChecker.java
@@ -11,6 +11,7 @@
 import java.util.TreeMap;
 import java.util.TreeSet;
 import java.util.function.Consumer;
+import org.baygw.control.Constants;
 import org.baygw.control.config.Settings;
 
 /** Watches the simulated world and notes every broken rule of the protocol, by its name there. */
@@ -266,6 +267,30 @@
     stuck.remove(w);
   }
 
+  /**
+   * A worker obeyed a message with this token: its epoch must be of a claim of the controller that
+   * sent it.
+   */
+  void obeyed(String worker, long token, String from) {
+    long epoch = token >> Constants.TOKEN_BITS;
+    if (!from.equals(world.probe.claimant(epoch))) {
+      breaks("not_the_owner", worker + " obeyed " + from + " in epoch " + epoch);
+    }
+  }
+
+  /** The final states that users were told, by job: there may be one only. */
+  private final Map<String, Set<String>> finalAnswers = new HashMap<>();
+
+  private void noteFinal(String id, String status) {
+    if (status.equals("done") || status.equals("cancelled")) {
+      Set<String> told = finalAnswers.computeIfAbsent(id, k -> new TreeSet<>());
+      told.add(status);
+      if (told.size() > 1) {
+        breaks("two_final_answers", id);
+      }
+    }
+  }
+
   void abortAsked(String id) {
     cancelAsked.add(id);
   }
@@ -291,6 +316,7 @@
     acceptedAt.putIfAbsent(id, world.now());
     answeredAt.put(id, world.now());
     String now = body.path("status").asText();
+    noteFinal(id, now);
     boolean wasFinal = "done".equals(before) || "cancelled".equals(before);
     if (wasFinal && !now.equals(before) || now.equals("cancelled") && !cancelAsked.contains(id)) {
       breaks("went_back", id);
--- a/src/test/java/org/baygw/control/sim/Scenario.java
+++ b/src/test/java/org/baygw/control/sim/Scenario.java
@@ -37,6 +37,13 @@
   /** Jobs about which nothing is asked any more. */
   private final Set<String> unasked = new HashSet<>();
 
+  /** Warm standby that keeps so few decisions for one that lags. */
+  private static Features keeping(int decisions) {
+    Features.Standby usual = Features.Standby.DEFAULTS;
+    return new Features(
+        new Features.Standby(usual.batchMs(), usual.heartbeatMs(), usual.suspectMs(), decisions));
+  }
+
   /** Plays the text and returns what was not as expected. */
   static List<String> play(String text) {
     return prepare(text).playOut();
@@ -170,6 +177,7 @@
                   case "value-kb" -> world.stateValueKb = Double.parseDouble(v);
                   case "backlog" -> world.state.backlog = Integer.parseInt(v);
                   case "standby" -> world.features = FEATURES;
+                  case "standby-kept" -> world.features = keeping(Integer.parseInt(v));
                   case "history" -> world.state.keepHistory(Integer.parseInt(v));
                   default -> throw new IllegalArgumentException(k);
                 }
@@ -257,6 +265,7 @@
         SimulatedCluster.Node node = w[3].equals("leader") ? leader() : world.nodes.get(w[3]);
         if (node != null) {
           node.terminate();
+          world.lastCrashAt = world.now();
           world.after(forMs, () -> restart(node));
         }
       }
@@ -407,6 +416,8 @@
   private void violate(String[] w) {
     if (w[3].equals("silence")) {
       unasked.add(w[4]);
+    } else if (w[3].equals("obey")) {
+      world.checker.obeyed(w[4], Long.MAX_VALUE, w[5]);
     } else if (w[3].equals("launch")) {
       world.workers.get(w[4]).force(w[5]);
     } else {
@@ -624,9 +635,67 @@
     }
   }
 
+  /**
+   * How long after the last end of a controller that scenarios time its roles gave orders again.
+   */
+  private void firstOrders(long withinMs) {
+    int found = 0;
+    Map<String, FailoverProbe.Failover> failovers = world.probe.firstSince(world.lastCrashAt);
+    for (Map.Entry<String, FailoverProbe.Failover> entry : failovers.entrySet()) {
+      FailoverProbe.Failover failover = entry.getValue();
+      boolean leads = entry.getKey().equals(FailoverProbe.LEADER);
+      if (!leads && failover.workers == 0) {
+        continue;
+      }
+      found++;
+      if (failover.firstOrderAt < 0 || failover.firstOrderAt - world.lastCrashAt > withinMs) {
+        failures.add(
+            entry.getKey()
+                + ": first order "
+                + (failover.firstOrderAt - world.lastCrashAt)
+                + " ms after");
+      }
+    }
+    if (found == 0) {
+      failures.add("no role changed hands");
+    }
+  }
+
+  /** What the administration API tells of warm standby, summed over the controllers. */
+  private long standbySum(String pointer) {
+    long sum = 0;
+    for (SimulatedCluster.Node node : world.nodes.values()) {
+      if (node.core != null) {
+        sum += node.standbyPage().at(pointer).asLong();
+      }
+    }
+    return sum;
+  }
+
+  private void reported(String pointer, long least, long most) {
+    long sum = standbySum(pointer);
+    if (sum < least || sum > most) {
+      failures.add(pointer + " is " + sum + " in all");
+    }
+  }
+
+  /** KB of replication a second, of the busiest controller. */
+  private void replicated(double most) {
+    for (SimulatedCluster.Node node : world.nodes.values()) {
+      double bytes = node.standbyPage().at("/replication/bytes_sent").asDouble();
+      double kbPerS = bytes / 1024 / (world.now() / 1000.0);
+      if (kbPerS > most) {
+        failures.add(node.label + " sends " + kbPerS + " KB a second of replication");
+      }
+    }
+  }
+
   /** How much was used, and what the controllers' cores did: it may not grow unnoticed. */
   private void expectWork(String[] w) {
     switch (w[1]) {
+      case "first-orders-within" -> firstOrders(seconds(w[2]));
+      case "replicated-kb-at-most" -> replicated(Double.parseDouble(w[2]));
+      case "standby-report" -> reported(w[2], Long.parseLong(w[3]), Long.parseLong(w[4]));
       case "stale-orders-at-most" -> {
         if (world.staleOrders > Integer.parseInt(w[2])) {
           failures.add(world.staleOrders + " orders of processes that had been replaced");
--- a/src/test/java/org/baygw/control/sim/SimulatedCluster.java
+++ b/src/test/java/org/baygw/control/sim/SimulatedCluster.java
@@ -205,6 +205,17 @@
       return now + wallErrorMs;
     }
 
+    /** What the administration API tells of warm standby now. */
+    JsonNode standbyPage() {
+      for (Outbox.Effect effect :
+          core.peerRequest(now, wall(), ++requests, "GET", "/admin/v1/standby", new byte[0])) {
+        if (effect instanceof Outbox.Answer answer) {
+          return Json.parse(answer.body());
+        }
+      }
+      throw new IllegalStateException("no answer about warm standby");
+    }
+
     void crash() {
       core = null;
       life++;
@@ -454,7 +465,7 @@
         node.receive(peer, method, path, body == null ? new byte[0] : body, respond);
       }
     } else if (workers.containsKey(to)) {
-      workers.get(to).handle(method, path, n, respond);
+      workers.get(to).handle(from, method, path, n, respond);
     }
   }
 
--- a/src/test/java/org/baygw/control/sim/WorkerStub.java
+++ b/src/test/java/org/baygw/control/sim/WorkerStub.java
@@ -139,14 +139,14 @@
         4_000,
         (status, body) -> {
           if (hung) {
-            whileHung.add(() -> answered(status, body, sent, mine));
+            whileHung.add(() -> answered(label, status, body, sent, mine));
           } else {
-            answered(status, body, sent, mine);
+            answered(label, status, body, sent, mine);
           }
         });
   }
 
-  private void answered(int status, byte[] body, long sent, long mine) {
+  private void answered(String label, int status, byte[] body, long sent, long mine) {
     if (dead) {
       return;
     }
@@ -159,7 +159,7 @@
           || !a.has("baton")) {
         return;
       }
-      accept(a);
+      accept(a, label);
       answeredSent = sent;
       execute(a.path("orders"));
     } else {
@@ -176,13 +176,14 @@
   }
 
   /** Takes the token of a message whose orders are about to be carried out. */
-  private void accept(JsonNode message) {
+  private void accept(JsonNode message, String from) {
     long t = message.path("baton").asLong();
     boolean launches = false;
     for (JsonNode o : message.path("orders")) {
       launches |= o.path("verb").asText().equals("launch");
     }
     world.probe.accepted(world.partitionOf(this), t, launches);
+    world.checker.obeyed(name, t, from);
     if (t > token) {
       token = t;
       changed = true;
@@ -207,12 +208,13 @@
     return n;
   }
 
-  void handle(String method, String path, JsonNode n, StateServiceStub.Respond respond) {
+  void handle(
+      String from, String method, String path, JsonNode n, StateServiceStub.Respond respond) {
     if (dead) {
       return;
     }
     if (hung) {
-      whileHung.add(() -> handle(method, path, n, respond));
+      whileHung.add(() -> handle(from, method, path, n, respond));
       return;
     }
     if (path.equals("/show")) {
@@ -222,7 +224,7 @@
     } else if (n.path("baton").asLong() < token || n.path("stint").asLong() != session) {
       respond.done(409, Json.bytes(describe()));
     } else {
-      accept(n);
+      accept(n, from);
       execute(n.path("orders"));
       respond.done(200, Json.bytes(describe()));
     }
