--- a/src/main/java/org/baygw/control/standby/Handover.java
+++ b/src/main/java/org/baygw/control/standby/Handover.java
@@ -121,11 +121,13 @@
     boolean begun =
         membership.release(
             ok -> {
-              if (ok) {
+              // Where claims are left, of many or after a conflict, they are released next. A
+              // conflict without any left is a release whose first answer was lost.
+              boolean left = membership.ownsAny();
+              if (!left) {
                 roles.released();
               }
-              // Where claims are left, of many or after a conflict, they are released next.
-              enter(membership.ownsAny() ? Phase.FLUSHING : Phase.RELEASED);
+              enter(left ? Phase.FLUSHING : Phase.RELEASED);
             });
     if (!begun) {
       enter(Phase.FLUSHING);
--- a/src/test/java/org/baygw/control/sim/FailoverProbe.java
+++ b/src/test/java/org/baygw/control/sim/FailoverProbe.java
@@ -112,6 +112,16 @@
     return found;
   }
 
+  /** When a claim of the controller last ended. */
+  long lastFreedOf(String label) {
+    return all.values().stream()
+        .flatMap(List::stream)
+        .filter(failover -> label.equals(failover.formerOwner))
+        .mapToLong(failover -> failover.freedAt)
+        .max()
+        .orElse(Long.MIN_VALUE / 2);
+  }
+
   /** Who holds a role, as the state service has it; null where nobody does. */
   String owner(String role) {
     return owners.get(role);
--- a/src/test/java/org/baygw/control/sim/Scenario.java
+++ b/src/test/java/org/baygw/control/sim/Scenario.java
@@ -696,6 +696,11 @@
       case "first-orders-within" -> firstOrders(seconds(w[2]));
       case "replicated-kb-at-most" -> replicated(Double.parseDouble(w[2]));
       case "standby-report" -> reported(w[2], Long.parseLong(w[3]), Long.parseLong(w[4]));
+      case "orders-after-release-at-most" -> {
+        if (world.ordersAfterRelease > Integer.parseInt(w[2])) {
+          failures.add(world.ordersAfterRelease + " orders after a release");
+        }
+      }
       case "stale-orders-at-most" -> {
         if (world.staleOrders > Integer.parseInt(w[2])) {
           failures.add(world.staleOrders + " orders of processes that had been replaced");
--- a/src/test/java/org/baygw/control/sim/SimulatedCluster.java
+++ b/src/test/java/org/baygw/control/sim/SimulatedCluster.java
@@ -28,6 +28,11 @@
   static final int REPORT_MS = 2_000;
   static final long TIME_BOUND_MS = 100;
 
+  /**
+   * For how long after its release is carried out a controller that waits for the answer is silent.
+   */
+  private static final long RELEASING_MS = 1_000;
+
   /** For how long after a freeze a process counts as just woken. */
   private static final long WOKEN_MS = 300;
 
@@ -64,6 +69,9 @@
   /** Until when workers' reports reach no controller, while direct commands are answered. */
   private final Map<String, Long> mute = new HashMap<>();
 
+  /** Orders that controllers sent just after their claims were released. */
+  int ordersAfterRelease;
+
   /** Orders that woken processes sent after others had replaced them. */
   int staleOrders;
 
@@ -272,6 +280,12 @@
       if (woken && !state.holds(label)) {
         staleOrders++;
       }
+      JsonNode member = state.value("b/member/" + label);
+      boolean leaving = member != null && member.path("leaving").asBoolean();
+      long releasedAt = probe.lastFreedOf(label);
+      if (leaving && !state.holds(label) && now - releasedAt < RELEASING_MS) {
+        ordersAfterRelease++;
+      }
     }
 
     private void respond(Outbox.Answer answer) {
--- /dev/null
+++ b/src/test/java/org/baygw/control/standby/EmissionFenceTest.java
@@ -0,0 +1,58 @@
+package org.baygw.control.standby;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import org.junit.jupiter.api.Test;
+
+final class EmissionFenceTest {
+  private long leaseUntil = 5_000;
+  private boolean releasing;
+  private final EmissionFence fence = new EmissionFence(() -> leaseUntil, () -> releasing);
+
+  @Test
+  void anOldDecisionIsWithheldOnceTheLeaseMayBeOver() {
+    fence.input(1_000);
+    assertFalse(fence.withholds(1_000, 4_999));
+    assertTrue(fence.withholds(1_000, 5_000));
+    assertEquals(1, fence.withheld());
+  }
+
+  @Test
+  void withoutAStopAnOutageWithholdsNothing() {
+    for (long now = 0; now < 60_000; now += 50) {
+      fence.input(now);
+      assertFalse(fence.withholds(now, now + 1), "at " + now);
+    }
+  }
+
+  @Test
+  void afterAStopNothingIsSentUntilTheLeaseIsKnownToLive() {
+    fence.input(1_000);
+    fence.input(9_000);
+    assertTrue(fence.withholds(9_000, 9_000));
+    assertTrue(fence.withholds(9_400, 9_400));
+    leaseUntil = 14_000;
+    assertFalse(fence.withholds(9_500, 9_500));
+  }
+
+  @Test
+  void whereTheStateServiceDoesNotAnswerItGoesOnAfterAWhile() {
+    fence.input(1_000);
+    fence.input(9_000);
+    for (long now = 9_000; now < 10_500; now += 50) {
+      fence.input(now);
+      assertTrue(fence.withholds(now, now), "at " + now);
+    }
+    fence.input(10_500);
+    assertFalse(fence.withholds(10_500, 10_500));
+  }
+
+  @Test
+  void whileRolesAreReleasedAllIsWithheld() {
+    fence.input(1_000);
+    releasing = true;
+    assertTrue(fence.withholds(1_000, 1_000));
+  }
+}
