--- /dev/null
+++ b/src/test/java/org/baygw/control/sim/ManyRandomDays.java
@@ -0,0 +1,33 @@
+package org.baygw.control.sim;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.stream.LongStream;
+import org.junit.jupiter.api.Assertions;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Many random days with warm standby. Not part of the build: {@code mvn test -Dtest=ManyRandomDays
+ * [-DargLine="-Dfirst=1 -Ddays=200"]}.
+ */
+final class ManyRandomDays {
+  private static final long FIRST = Long.getLong("first", 1);
+  private static final long DAYS = Long.getLong("days", 100);
+
+  @Test
+  void keepTheRules() {
+    List<String> failed = new ArrayList<>();
+    LongStream.range(FIRST, FIRST + DAYS)
+        .parallel()
+        .forEach(
+            seed -> {
+              List<String> found = Scenario.play(RandomFaultTest.standby(seed));
+              if (!found.isEmpty()) {
+                synchronized (failed) {
+                  failed.add("day " + seed + ": " + found);
+                }
+              }
+            });
+    Assertions.assertEquals(List.of(), failed);
+  }
+}
--- a/src/test/java/org/baygw/control/sim/RandomFaultTest.java
+++ b/src/test/java/org/baygw/control/sim/RandomFaultTest.java
@@ -168,6 +168,39 @@
     }
   }
 
+  /** Days of freezes and meeting troubles with warm standby on, and with what is new with it. */
+  static String standby(long seed) {
+    Random r = new Random(seed);
+    StringBuilder b =
+        new StringBuilder(r.nextBoolean() ? "set standby=on\n" : "set standby-kept=16\n");
+    for (int i = 0; i < 9; i++) {
+      double at = 8 + r.nextDouble() * 95;
+      double span = 0.2 + r.nextDouble() * (r.nextInt(3) == 0 ? 25 : 8);
+      String one = CONTROLLERS[r.nextInt(3)];
+      String other = CONTROLLERS[r.nextInt(3)];
+      String act =
+          switch (r.nextInt(9)) {
+            case 0 -> "terminate " + one;
+            case 1 -> "terminate leader";
+            case 2, 3 -> "handover " + one;
+            case 4, 5 -> "freeze-leader-sending";
+            case 6 -> "cut " + one + " " + other + " hold";
+            case 7 -> "cut " + one + " " + other + " drop";
+            default -> "cut controllers " + one + " lose_answers";
+          };
+      b.append(String.format(Locale.ROOT, "at %.2f %s for %.2f%n", at, act, span));
+    }
+    return freezes(seed) + b;
+  }
+
+  @ParameterizedTest
+  @ValueSource(longs = {1, 2, 3, 4})
+  void keepsTheRulesWithStandby(long first) {
+    for (long seed = first * 1000; seed < first * 1000 + DAYS_PER_TEST; seed++) {
+      assertEquals(List.of(), Scenario.play(standby(seed)), "day " + seed);
+    }
+  }
+
   /** Days that broke a rule once: what was wrong on each stands in docs/SAFETY.md. */
   @ParameterizedTest
   @ValueSource(longs = {272, 547, 569, 661, 687, 756})
