--- /dev/null
+++ b/src/test/java/org/baygw/control/sim/ProcessDays.java
@@ -0,0 +1,113 @@
+package org.baygw.control.sim;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Random;
+
+/** Days on loopback with processes that are killed, paused and ended at random, from a seed. */
+final class ProcessDays {
+  private static final Path DEPLOY = Path.of("deploy/service.toml");
+  private static final String FEATURES = "--features";
+
+  /** One controller's end that is measured, for each so many s: it is back and settled by then. */
+  private static final double KILL_PERIOD_S = 18;
+
+  private ProcessDays() {}
+
+  /** The command line that is deployed, with the features file or without it. */
+  static List<String> command(boolean standby) throws IOException {
+    String text = Files.readString(DEPLOY);
+    int at = text.indexOf("run = \"") + "run = \"".length();
+    List<String> words =
+        new ArrayList<>(List.of(text.substring(at, text.indexOf('"', at)).split(" ")));
+    int features = words.indexOf(FEATURES);
+    if (features >= 0) {
+      words.subList(features, features + 2).clear();
+    }
+    if (standby) {
+      words.addAll(words.size() - 1, List.of(FEATURES, "deploy/features.toml"));
+    }
+    return words;
+  }
+
+  private static String setUp(long seed) {
+    return String.format(
+        Locale.ROOT,
+        "seed %d%nzones a b%nset boot=4 capacity=14%nmachines zone=a count=6%n"
+            + "machines zone=b count=5%nat 3 submit run-900001 service tasks=4 spread%n",
+        seed);
+  }
+
+  /** Kills, pauses, orderly ends and cancellations, back to back. */
+  static String random(long seed, int seconds) {
+    Random random = new Random(seed);
+    StringBuilder day = new StringBuilder(setUp(seed));
+    double lastFault = seconds - 35;
+    day.append(
+        String.format(
+            Locale.ROOT, "at 4 every 0.5 until %.1f submit run-# tasks=2 run=5%n", lastFault));
+    for (double at = 10; at < lastFault; at += 2.5 + random.nextDouble() * 5) {
+      double span = 0.2 + random.nextDouble() * (random.nextBoolean() ? 2 : 9);
+      String one = "yurt-" + random.nextInt(3);
+      String act =
+          switch (random.nextInt(8)) {
+            case 0 -> "crash " + one;
+            case 1 -> "crash-leader";
+            case 2 -> "freeze " + one;
+            case 3, 4 -> "freeze-leader";
+            case 5 -> "terminate leader";
+            case 6 -> "handover " + one;
+            default -> "cancel-now count=2";
+          };
+      day.append(String.format(Locale.ROOT, "at %.2f %s for %.2f%n", at, act, span));
+    }
+    return day.append("run ").append(seconds).append("\n").toString();
+  }
+
+  /** The leader's controller is killed again and again, and is back after 9 s. */
+  static String kills(long seed, int count) {
+    Random random = new Random(seed);
+    double end = 15 + count * KILL_PERIOD_S;
+    StringBuilder day = new StringBuilder(setUp(seed));
+    day.append(
+        String.format(
+            Locale.ROOT, "at 3 every 0.4 until %.1f submit run-# tasks=2 run=4 cpus=2%n", end));
+    for (int i = 0; i < count; i++) {
+      double at = 12 + i * KILL_PERIOD_S + random.nextDouble() * 2;
+      day.append(String.format(Locale.ROOT, "at %.2f crash-leader for 9%n", at));
+    }
+    return day.append("run ").append((int) end + 15).append("\n").toString();
+  }
+
+  /** Plays a day with real processes; returns what was not as expected. */
+  static List<String> play(Scenario scenario, List<String> command, Path logs)
+      throws IOException, InterruptedException {
+    Files.createDirectories(logs);
+    scenario.setUpWorld();
+    try (ProcessCluster cluster = new ProcessCluster(scenario.world(), command, logs)) {
+      scenario.begin();
+      cluster.runUntil(scenario.end());
+    }
+    return scenario.judge();
+  }
+
+  /** Adds the failovers that followed each kill. */
+  static void measure(SimulatedCluster world, FailoverParts leader, FailoverParts partitions) {
+    for (long killedAt : world.crashes) {
+      for (Map.Entry<String, FailoverProbe.Failover> entry :
+          world.probe.firstSince(killedAt).entrySet()) {
+        FailoverProbe.Failover failover = entry.getValue();
+        boolean leads = entry.getKey().equals(FailoverProbe.LEADER);
+        boolean soon = failover.freedAt - killedAt < KILL_PERIOD_S * 500;
+        if (soon && (leads || failover.workers > 0)) {
+          (leads ? leader : partitions).add(failover, killedAt);
+        }
+      }
+    }
+  }
+}
--- /dev/null
+++ b/src/test/java/org/baygw/control/sim/ProcessesIT.java
@@ -0,0 +1,69 @@
+package org.baygw.control.sim;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/**
+ * The built jar on loopback: three controllers as processes that are killed (SIGKILL), paused
+ * (SIGSTOP), asked to end (SIGTERM) and told to hand over, while users submit, poll and cancel. The
+ * verdict rests on the rules and on every job's end, not on how long anything took.
+ */
+final class ProcessesIT {
+  private static final int SECONDS = 95;
+
+  @TempDir Path logs;
+
+  private Scenario play(String day, boolean standby) throws Exception {
+    Scenario scenario = Scenario.prepare(day);
+    assertEquals(List.of(), ProcessDays.play(scenario, ProcessDays.command(standby), logs), logs());
+    return scenario;
+  }
+
+  /** The ends of the processes' logs, to find out why. */
+  private String logs() throws Exception {
+    StringBuilder all = new StringBuilder();
+    for (String label : List.of("yurt-0", "yurt-1", "yurt-2")) {
+      Path log = logs.resolve(label + ".log");
+      List<String> lines = Files.exists(log) ? Files.readAllLines(log) : List.of();
+      int first = Math.max(0, lines.size() - 40);
+      all.append(label).append(":\n").append(String.join("\n", lines.subList(first, lines.size())));
+      all.append('\n');
+    }
+    return all.toString();
+  }
+
+  @Test
+  void keepsTheRulesThroughKillsPausesAndHandovers() throws Exception {
+    Scenario scenario = play(ProcessDays.random(1, SECONDS), true);
+    Map<String, Long> done = scenario.world().checker.doneTold;
+    assertTrue(done.size() > 30, "only " + done.size() + " jobs are done");
+    String log = logs();
+    assertTrue(log.contains("standby.RoleTable"), log);
+    assertFalse(log.contains("an input failed"), log);
+  }
+
+  @Test
+  void whereStandbyIsOffNoneOfItsClassesIsLoaded() throws Exception {
+    List<String> command = new java.util.ArrayList<>(ProcessDays.command(false));
+    command.add(1, "-Xlog:class+load:stderr");
+    Scenario scenario =
+        Scenario.prepare(
+            "machines count=3\nat 3 submit run-1 tasks=2 run=2\nat 9 crash-leader for 1\nrun 22");
+    assertEquals(List.of(), ProcessDays.play(scenario, command, logs));
+    for (String label : List.of("yurt-0", "yurt-1", "yurt-2")) {
+      String log = Files.readString(logs.resolve(label + ".log"));
+      assertTrue(log.contains("org.baygw.control.Controller "), label);
+      for (String off : List.of("org.baygw.control.standby", "org.pcollections", "roaringbitmap")) {
+        assertFalse(log.contains(off), label + " loaded " + off);
+      }
+    }
+  }
+}
