--- /dev/null
+++ b/src/test/java/org/baygw/control/sim/FailoverOnLoopback.java
@@ -0,0 +1,73 @@
+package org.baygw.control.sim;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Where the time from a controller's death to its successors' first orders goes, with real
+ * processes in real time, and many random days of kills and pauses. Not part of the build; needs
+ * the built jar: {@code mvn test -Dtest=FailoverOnLoopback#kills -DargLine="-Dclusters=4 -Dkills=25
+ * -Dstandby=true"}, {@code #randomDays} with {@code -Dseconds=300}.
+ */
+final class FailoverOnLoopback {
+  private static final int CLUSTERS = Integer.getInteger("clusters", 4);
+  private static final int KILLS = Integer.getInteger("kills", 25);
+  private static final int SECONDS = Integer.getInteger("seconds", 300);
+  private static final long FIRST = Long.getLong("first", 1);
+  private static final boolean STANDBY = Boolean.getBoolean("standby");
+  private static final Path LOGS = Path.of("target/loopback");
+
+  private interface Days {
+    String day(long seed);
+  }
+
+  /** Plays one day for each cluster, all at the same time. */
+  private static List<Scenario> play(Days days) throws Exception {
+    ExecutorService threads = Executors.newFixedThreadPool(CLUSTERS);
+    List<Future<Scenario>> played = new ArrayList<>();
+    for (long seed = FIRST; seed < FIRST + CLUSTERS; seed++) {
+      long mine = seed;
+      played.add(threads.submit(() -> play(mine, days.day(mine))));
+    }
+    List<Scenario> scenarios = new ArrayList<>();
+    for (Future<Scenario> one : played) {
+      scenarios.add(one.get());
+    }
+    threads.shutdown();
+    return scenarios;
+  }
+
+  private static Scenario play(long seed, String day) throws Exception {
+    Scenario scenario = Scenario.prepare(day);
+    Path logs = LOGS.resolve(seed + (STANDBY ? "-on" : "-off"));
+    List<String> failures = ProcessDays.play(scenario, ProcessDays.command(STANDBY), logs);
+    assertEquals(List.of(), failures, "day " + seed);
+    return scenario;
+  }
+
+  @Test
+  void kills() throws Exception {
+    FailoverParts leader = new FailoverParts("leader");
+    FailoverParts partitions = new FailoverParts("partition owner");
+    for (Scenario scenario : play(seed -> ProcessDays.kills(seed, KILLS))) {
+      ProcessDays.measure(scenario.world(), leader, partitions);
+    }
+    System.out.println(leader.table() + partitions.table());
+  }
+
+  @Test
+  void randomDays() throws Exception {
+    int done = 0;
+    for (Scenario scenario : play(seed -> ProcessDays.random(seed, SECONDS))) {
+      done += scenario.world().checker.doneTold.size();
+    }
+    System.out.println(CLUSTERS + " days of " + SECONDS + " s, " + done + " jobs done");
+  }
+}
--- a/src/test/java/org/baygw/control/sim/ProcessesIT.java
+++ b/src/test/java/org/baygw/control/sim/ProcessesIT.java
@@ -6,6 +6,7 @@
 
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import org.junit.jupiter.api.Test;
@@ -46,13 +47,13 @@
     Map<String, Long> done = scenario.world().checker.doneTold;
     assertTrue(done.size() > 30, "only " + done.size() + " jobs are done");
     String log = logs();
-    assertTrue(log.contains("standby.RoleTable"), log);
+    assertTrue(log.contains("RoleTable - role"), log);
     assertFalse(log.contains("an input failed"), log);
   }
 
   @Test
   void whereStandbyIsOffNoneOfItsClassesIsLoaded() throws Exception {
-    List<String> command = new java.util.ArrayList<>(ProcessDays.command(false));
+    List<String> command = new ArrayList<>(ProcessDays.command(false));
     command.add(1, "-Xlog:class+load:stderr");
     Scenario scenario =
         Scenario.prepare(
