--- a/src/main/java/org/baygw/control/model/Partition.java
+++ b/src/main/java/org/baygw/control/model/Partition.java
@@ -6,7 +6,27 @@
 import java.util.List;
 
 /** A fixed share of a zone's machines. */
-public record Partition(String zone, int index) implements Comparable<Partition> {
+public final class Partition implements Comparable<Partition> {
+  private final String zone;
+  private final int index;
+
+  /** Made once: it is the name of the partition's claim, which is looked up at every step. */
+  private final String name;
+
+  public Partition(String zone, int index) {
+    this.zone = zone;
+    this.index = index;
+    this.name = zone + "." + index;
+  }
+
+  public String zone() {
+    return zone;
+  }
+
+  public int index() {
+    return index;
+  }
+
   /** The part of a machine where each zone has so many; that number is durable (see Membership). */
   public static Partition of(String machine, String zone, int perZone) {
     int h = Hashing.murmur3_32_fixed().hashString(machine, StandardCharsets.UTF_8).asInt();
@@ -28,7 +48,6 @@
     return new Partition(text.substring(0, dot), Integer.parseInt(text.substring(dot + 1)));
   }
 
-  // Written out for the same reason as in TaskId.
   @Override
   public boolean equals(Object o) {
     return o instanceof Partition p && index == p.index && zone.equals(p.zone);
@@ -47,6 +66,6 @@
 
   @Override
   public String toString() {
-    return zone + "." + index;
+    return name;
   }
 }
--- a/src/main/java/org/baygw/control/standby/RoleTable.java
+++ b/src/main/java/org/baygw/control/standby/RoleTable.java
@@ -34,6 +34,10 @@
   private final Map<Role, RoleEntry> entries = new TreeMap<>();
   private final Map<Partition, RoleEntry> byPartition = new HashMap<>();
   private long nextLook;
+
+  /** Changes of claims and members when standbys were last chosen. */
+  private long ownershipChanges = -1;
+
   private long takeovers;
   private long differences;
 
@@ -111,6 +115,7 @@
     if (entries.isEmpty()) {
       makeEntries();
     }
+    chooseStandbys();
     entries.values().forEach(this::look);
   }
 
@@ -127,11 +132,20 @@
     }
   }
 
+  /** Only claims and members decide, so without a change of them there is nothing to choose. */
+  private void chooseStandbys() {
+    if (ownershipChanges != view.ownershipChanges()) {
+      ownershipChanges = view.ownershipChanges();
+      for (RoleEntry entry : entries.values()) {
+        entry.standby = membership.successor(entry.role.name());
+      }
+    }
+  }
+
   private void look(RoleEntry entry) {
     String role = entry.role.name();
     StateCache.Entry<StateCache.Claim> claim = membership.claim(role);
     long epoch = membership.owned(role);
-    entry.standby = membership.successor(role);
     Takeover.Transition change =
         entry.takeover.observe(
             new Takeover.Observation(
--- a/src/main/java/org/baygw/control/store/StateCache.java
+++ b/src/main/java/org/baygw/control/store/StateCache.java
@@ -66,6 +66,9 @@
   private long revision;
   private long changes;
 
+  /** Changes of claims and members. */
+  private long ownershipChanges;
+
   public final Map<String, Entry<Job>> jobs = new HashMap<>();
 
   /** Jobs that are open or have progress left; the others only need their final state. */
@@ -130,6 +133,11 @@
     return changes;
   }
 
+  /** Grows with every change of a claim or a member. */
+  public long ownershipChanges() {
+    return ownershipChanges;
+  }
+
   public int partitionsPerZone() {
     return partitionsPerZone;
   }
@@ -347,24 +355,28 @@
         changedMachines.add(id);
       }
       case "layout" -> partitionsPerZone = v == null ? 0 : v.path("partitions_per_zone").asInt();
-      case "claim" ->
-          set(
-              claims,
-              id,
-              v == null ? null : new Claim(v.path("owner").asText(), v.path("hold").asLong()),
-              stamp);
-      case "member" ->
-          set(
-              members,
-              id,
-              v == null
-                  ? null
-                  : new Member(
-                      v.path("zone").asText(),
-                      v.path("hold").asLong(),
-                      v.path("reaches").asBoolean(true),
-                      v.path("leaving").asBoolean(false)),
-              stamp);
+      case "claim" -> {
+        ownershipChanges++;
+        set(
+            claims,
+            id,
+            v == null ? null : new Claim(v.path("owner").asText(), v.path("hold").asLong()),
+            stamp);
+      }
+      case "member" -> {
+        ownershipChanges++;
+        set(
+            members,
+            id,
+            v == null
+                ? null
+                : new Member(
+                    v.path("zone").asText(),
+                    v.path("hold").asLong(),
+                    v.path("reaches").asBoolean(true),
+                    v.path("leaving").asBoolean(false)),
+            stamp);
+      }
       case "rent" -> set(rentals, id, v == null ? null : Records.rental(v), stamp);
       case "drain" -> {
         Map<String, Drain> next = new HashMap<>();
