--- a/src/test/java/org/baygw/control/sim/ScenarioExpectations.java
+++ b/src/test/java/org/baygw/control/sim/ScenarioExpectations.java
@@ -75,57 +75,13 @@
                   + " requests refused");
         }
       }
-      case "pages-at-least" -> {
-        int most = world.state.mostPages();
-        if (most < Integer.parseInt(w[2])) {
-          failures.add("no part's record has more than " + most + " pages");
-        }
-      }
-      case "claim-changes-at-most" -> {
-        int changes = world.state.writes.getOrDefault("claim", 0);
-        if (changes > Integer.parseInt(w[2])) {
-          failures.add(changes + " changes of claims");
-        }
-      }
-      case "never-left" -> {
-        if (world.checker.everLeft.contains(w[2])) {
-          failures.add("a task of " + w[2] + " left its machine");
-        }
-      }
-      case "starts-at-most" -> {
-        if (world.checker.starts > Integer.parseInt(w[2])) {
-          failures.add(world.checker.starts + " starts");
-        }
-      }
-      case "rentals-at-most" -> {
-        if (world.cloud.rentals > Integer.parseInt(w[2])) {
-          failures.add(world.cloud.rentals + " rentals");
-        }
-      }
-      case "machines-at-most" -> {
-        if (world.cloud.size() > Integer.parseInt(w[2])) {
-          failures.add(world.cloud.size() + " machines");
-        }
-      }
-      case "all-own-partitions" -> {
-        for (String label : world.labels) {
-          if (!world.state.holds(label)) {
-            failures.add(label + " holds no part");
-          }
-        }
-      }
-      case "no-machine-on-record" -> {
-        if (world.state.has("b/machine/")) {
-          failures.add("a machine is on record");
-        }
-      }
       case "broken" -> {
         expectsBroken = true;
         if (world.checker.broken.stream().noneMatch(b -> b.startsWith(w[2] + ":"))) {
           failures.add("the checker did not see " + w[2] + " but " + world.checker.broken);
         }
       }
-      default -> expectWork(w);
+      default -> expectOfFleet(w);
     }
   }
 
@@ -184,6 +140,57 @@
     }
   }
 
+  /** What became of records, claims and machines. */
+  private void expectOfFleet(String[] w) {
+    switch (w[1]) {
+      case "pages-at-least" -> {
+        int most = world.state.mostPages();
+        if (most < Integer.parseInt(w[2])) {
+          failures.add("no part's record has more than " + most + " pages");
+        }
+      }
+      case "claim-changes-at-most" -> {
+        int changes = world.state.writes.getOrDefault("claim", 0);
+        if (changes > Integer.parseInt(w[2])) {
+          failures.add(changes + " changes of claims");
+        }
+      }
+      case "never-left" -> {
+        if (world.checker.everLeft.contains(w[2])) {
+          failures.add("a task of " + w[2] + " left its machine");
+        }
+      }
+      case "starts-at-most" -> {
+        if (world.checker.starts > Integer.parseInt(w[2])) {
+          failures.add(world.checker.starts + " starts");
+        }
+      }
+      case "rentals-at-most" -> {
+        if (world.cloud.rentals > Integer.parseInt(w[2])) {
+          failures.add(world.cloud.rentals + " rentals");
+        }
+      }
+      case "machines-at-most" -> {
+        if (world.cloud.size() > Integer.parseInt(w[2])) {
+          failures.add(world.cloud.size() + " machines");
+        }
+      }
+      case "all-own-partitions" -> {
+        for (String label : world.labels) {
+          if (!world.state.holds(label)) {
+            failures.add(label + " holds no part");
+          }
+        }
+      }
+      case "no-machine-on-record" -> {
+        if (world.state.has("b/machine/")) {
+          failures.add("a machine is on record");
+        }
+      }
+      default -> expectWork(w);
+    }
+  }
+
   /** How much was used, and what the controllers' cores did: it may not grow unnoticed. */
   void expectWork(String[] w) {
     switch (w[1]) {
