--- /dev/null
+++ b/src/test/java/org/baygw/control/sim/StandbyInputsTest.java
@@ -0,0 +1,124 @@
+package org.baygw.control.sim;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import org.baygw.control.config.Features;
+import org.baygw.control.config.Settings;
+import org.baygw.control.core.Json;
+import org.junit.jupiter.api.Test;
+
+/** What operators and siblings get from warm standby's own requests. */
+final class StandbyInputsTest {
+  private SimulatedCluster world;
+  private int status;
+  private String text;
+
+  private void start(int controllers, Features features) {
+    Settings.Team team = new Settings.Team("red", 8, 16, 0, 0);
+    world = new SimulatedCluster(1, controllers, List.of("a", "b"), List.of(team));
+    world.features = features;
+    world.nodes.values().forEach(SimulatedCluster.Node::start);
+    world.runUntil(6_000);
+  }
+
+  private JsonNode ask(String label, String method, String path, byte[] body) {
+    world.call(
+        "operator",
+        label + ":8081",
+        method,
+        path,
+        body,
+        5_000,
+        (answered, answer) -> {
+          status = answered;
+          text = new String(answer, StandardCharsets.UTF_8);
+        });
+    world.runUntil(world.now() + 100);
+    return Json.parse(text.getBytes(StandardCharsets.UTF_8));
+  }
+
+  private JsonNode ask(String label, String method, String path) {
+    return ask(label, method, path, new byte[0]);
+  }
+
+  private static Features on() {
+    return new Features(Features.Standby.DEFAULTS);
+  }
+
+  @Test
+  void whereItIsOffThereIsNoSuchPath() {
+    start(1, Features.NONE);
+    ask("yurt-0", "GET", "/admin/v1/standby");
+    assertEquals(404, status);
+    ask("yurt-0", "POST", "/admin/v1/handover");
+    assertEquals(404, status);
+    ask("yurt-0", "POST", "/peer/replication");
+    assertEquals(404, status);
+  }
+
+  @Test
+  void thePageTellsOfEveryRole() {
+    start(3, on());
+    int active = 0;
+    int followed = 0;
+    for (String label : world.labels) {
+      JsonNode page = ask(label, "GET", "/admin/v1/standby");
+      assertEquals(200, status);
+      assertEquals(7, page.path("roles").size());
+      for (JsonNode role : page.path("roles")) {
+        active += role.path("state").asText().equals("active") ? 1 : 0;
+        followed += role.path("state").asText().equals("following") ? 1 : 0;
+        assertTrue(!role.path("standby").asText().equals(role.path("active").asText()));
+      }
+    }
+    assertEquals(7, active);
+    assertEquals(7, followed);
+    ask("yurt-0", "GET", "/metrics");
+    assertTrue(text.contains("baygw_standby_takeovers"), text);
+    ask("yurt-0", "PUT", "/admin/v1/standby");
+    assertEquals(405, status);
+  }
+
+  @Test
+  void aHandoverMovesAllRolesAndCanBeTakenBack() {
+    start(3, on());
+    String leader = world.state.value("b/claim/leader").path("owner").asText();
+    ask(leader, "POST", "/admin/v1/handover");
+    assertEquals(202, status);
+    world.runUntil(world.now() + 3_000);
+    assertEquals("released", ask(leader, "GET", "/admin/v1/standby").path("handover").asText());
+    assertTrue(!world.state.holds(leader));
+    assertTrue(!world.state.value("b/claim/leader").path("owner").asText().equals(leader));
+    ask(leader, "DELETE", "/admin/v1/handover");
+    assertEquals(200, status);
+    world.runUntil(world.now() + 6_000);
+    assertTrue(world.state.holds(leader));
+    ask(leader, "PUT", "/admin/v1/handover");
+    assertEquals(405, status);
+  }
+
+  @Test
+  void aControllerThatIsAloneKeepsItsRoles() {
+    start(1, on());
+    ask("yurt-0", "POST", "/admin/v1/handover");
+    assertEquals(409, status);
+    world.runUntil(world.now() + 3_000);
+    assertTrue(world.state.holds("yurt-0"));
+  }
+
+  @Test
+  void whatIsNoReplicationMessageIsRefused() {
+    start(3, on());
+    ask("yurt-0", "POST", "/peer/replication", "nonsense".getBytes(StandardCharsets.UTF_8));
+    assertEquals(400, status);
+    // A message of nobody whom the settings name: a sender's name, and no updates.
+    ask("yurt-0", "POST", "/peer/replication", new byte[] {2, 'x', 0});
+    assertEquals(400, status);
+    ask("yurt-0", "GET", "/admin/v1/standby");
+    assertEquals(200, status);
+  }
+}
