--- a/src/main/java/org/baygw/control/store/Store.java
+++ b/src/main/java/org/baygw/control/store/Store.java
@@ -1,9 +1,7 @@
 package org.baygw.control.store;
 
 import com.fasterxml.jackson.databind.JsonNode;
-import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.Deque;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
@@ -15,7 +13,6 @@
 import org.baygw.control.core.Clock;
 import org.baygw.control.core.Json;
 import org.baygw.control.core.Outbox;
-import org.baygw.control.core.TokenBucket;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -46,31 +43,14 @@
     UNKNOWN
   }
 
-  private record Waiting(
-      String method,
-      String path,
-      byte[] body,
-      int writes,
-      long deadline,
-      long timeout,
-      Outbox.Callback then,
-      Supplier<Txn> late,
-      Consumer<Txn> send) {}
-
   private static final Logger LOG = LoggerFactory.getLogger(Store.class);
 
   private final Clock clock;
-  private final Outbox out;
-  private final String addr;
   private final StateCache view;
-  private final Settings settings;
-  private final TokenBucket requests;
-  private final TokenBucket writes;
+  private final RequestQueue queue;
   private final long watchWaitMs;
   private final long watchGapMs;
   private final long syncGapMs;
-  private final List<Deque<Waiting>> queues = new ArrayList<>();
-
   private final Histogram writeMs =
       new Histogram(Constants.HISTOGRAM_MAX_MS, Constants.HISTOGRAM_DIGITS);
   private boolean loaded;
@@ -81,7 +61,6 @@
   private long nextSync;
   private long waitingSince;
   private List<Consumer<Boolean>> syncWaiters = new ArrayList<>();
-  private long lastContact = Long.MIN_VALUE / 2;
 
   /** When the copy was last made current. */
   private long lastCurrent = Long.MIN_VALUE / 2;
@@ -91,13 +70,8 @@
 
   public Store(Clock clock, Outbox out, Settings s, StateCache view) {
     this.clock = clock;
-    this.out = out;
-    this.addr = s.stateAddr();
     this.view = view;
-    this.settings = s;
-    this.requests = new TokenBucket(1, 1);
-    this.writes = new TokenBucket(1, 1);
-    share(false);
+    this.queue = new RequestQueue(clock, out, s);
     double all = s.peers().size() + 1;
     this.watchWaitMs = s.workers().watermarkPeriodMs(Constants.WATCH_WAIT_MS);
     this.watchGapMs =
@@ -108,9 +82,6 @@
         Math.max(
             Constants.SYNC_GAP_MS,
             Math.round(1000 * all / (s.state().rps() * Constants.SYNC_SHARE)));
-    for (int i = 0; i < Urgency.values().length; i++) {
-      queues.add(new ArrayDeque<>());
-    }
   }
 
   /** True once the whole state has been read. */
@@ -120,7 +91,7 @@
 
   /** When the latest request was sent that the state service has answered. */
   public long lastContact() {
-    return lastContact;
+    return queue.lastContact();
   }
 
   /**
@@ -154,7 +125,7 @@
         sync();
       }
     }
-    pump();
+    queue.pump();
   }
 
   /**
@@ -162,21 +133,12 @@
    * some more where it has the leader.
    */
   public void share(boolean leadership) {
-    double share =
-        Math.min(
-            Constants.STATE_SHARE_MAX,
-            (1.0 + (leadership ? Constants.LEADER_SHARES : 0))
-                / (settings.peers().size() + 1 + Constants.LEADER_SHARES)
-                * Constants.STATE_OVERBOOK);
-    double rps = settings.state().rps() * share;
-    double wps = settings.state().writeRps() * share;
-    requests.rate(rps, rps);
-    writes.rate(wps, wps);
+    queue.share(leadership);
   }
 
   /** Whether writes are to be drawn together: tokens for them are running out. */
   public boolean scarce() {
-    return writes.fullness(clock.now()) < Constants.SCARCE;
+    return queue.scarce();
   }
 
   /**
@@ -243,34 +205,20 @@
    * more.
    */
   public void settle(Urgency u, Supplier<Txn> late, Consumer<Boolean> then) {
-    queues
-        .get(u.ordinal())
-        .add(
-            new Waiting(
-                "POST",
-                "/txn",
-                null,
-                0,
-                clock.now() + Constants.LATE_WAIT_MS,
-                Constants.STATE_TIMEOUT_MS,
-                (status, body) -> then.accept(false),
-                late,
-                t -> {
-                  long asked = clock.now();
-                  send(
-                      "POST",
-                      "/txn",
-                      Json.bytes(t.toJson()),
-                      Constants.STATE_TIMEOUT_MS,
-                      (status, answer) ->
-                          outcome(
-                              t,
-                              asked,
-                              status,
-                              answer,
-                              o -> settled(u, t, Constants.STATE_TIMEOUT_MS, false, then, o)));
-                }));
-    pump();
+    queue.addLate(u, late, t -> sendLate(u, t, then), (status, body) -> then.accept(false));
+  }
+
+  private void sendLate(Urgency u, Txn t, Consumer<Boolean> then) {
+    long asked = clock.now();
+    queue.send(
+        t,
+        (status, answer) ->
+            outcome(
+                t,
+                asked,
+                status,
+                answer,
+                o -> settled(u, t, Constants.STATE_TIMEOUT_MS, false, then, o)));
   }
 
   private void settle(Urgency u, Txn t, long waitMs, boolean doubt, Consumer<Boolean> then) {
@@ -314,12 +262,7 @@
       long waitMs,
       long timeoutMs,
       Outbox.Callback then) {
-    queues
-        .get(u.ordinal())
-        .add(
-            new Waiting(
-                method, path, body, writeCount, clock.now() + waitMs, timeoutMs, then, null, null));
-    pump();
+    queue.add(u, method, path, body, writeCount, waitMs, timeoutMs, then);
   }
 
   /**
@@ -337,77 +280,6 @@
     }
   }
 
-  private void pump() {
-    long now = clock.now();
-    for (Deque<Waiting> q : queues) {
-      while (!q.isEmpty()) {
-        Waiting w = q.peek();
-        if (now > w.deadline) {
-          q.poll();
-          w.then.done(Outbox.NOT_SENT, new byte[0]);
-          continue;
-        }
-        if (w.late != null) {
-          if (!writes.ready(now) || !requests.ready(now)) {
-            break;
-          }
-          q.poll();
-          Txn t = made(w);
-          if (t == null) {
-            w.then.done(Outbox.NOT_SENT, new byte[0]);
-          } else {
-            writes.charge(t.writes());
-            requests.charge(1);
-            w.send.accept(t);
-          }
-          continue;
-        }
-        if (w.writes > 0 && !writes.take(now, w.writes)) {
-          break;
-        }
-        if (!requests.take(now, 1)) {
-          break;
-        }
-        q.poll();
-        send(w.method, w.path, w.body, w.timeout, w.then);
-      }
-      if (!q.isEmpty()) {
-        return; // the less urgent must not take what the more urgent wait for
-      }
-    }
-  }
-
-  /** A fault in making a write up must not keep its maker waiting for ever. */
-  private static Txn made(Waiting w) {
-    try {
-      return w.late.get();
-    } catch (RuntimeException e) {
-      LOG.error("a write could not be made up", e);
-      return null;
-    }
-  }
-
-  private void send(String method, String path, byte[] body, long timeout, Outbox.Callback then) {
-    long sent = clock.now();
-    out.call(
-        addr,
-        method,
-        path,
-        body,
-        timeout,
-        (status, answer) -> {
-          if (status == 429 || status == 503) {
-            requests.rest(clock.now(), Constants.BUCKET_REST_MS);
-            writes.rest(clock.now(), Constants.BUCKET_REST_MS);
-          } else if (status > 0 && status < 500) {
-            // Not the time of the answer: a process that stood still takes old answers in when it
-            // wakes, and would think itself in touch in an outage that began meanwhile.
-            lastContact = Math.max(lastContact, sent);
-          }
-          then.done(status, answer);
-        });
-  }
-
   private void list(String after, long firstRev, long begun, Set<String> seen) {
     String path =
         "/kv?under=" + Keys.ROOT + "&page=500" + (after.isEmpty() ? "" : "&after=" + after);
@@ -465,7 +337,7 @@
 
   /** Opens a watch; where someone waits for the copy it answers at once, so no sync is needed. */
   private void watch() {
-    if (!requests.take(clock.now(), 1)) {
+    if (!queue.takeToken()) {
       return;
     }
     watching = true;
@@ -480,7 +352,7 @@
 
   /** Asks for what has changed beside a watch that has nothing to tell. */
   private void sync() {
-    if (!requests.take(clock.now(), 1)) {
+    if (!queue.takeToken()) {
       return;
     }
     syncing = true;
@@ -496,7 +368,7 @@
   private void changes(long waitMs, Consumer<Boolean> then) {
     List<Consumer<Boolean>> waiters = takeWaiters();
     long sent = clock.now();
-    send(
+    queue.send(
         "GET",
         "/watch?under=" + Keys.ROOT + "&after=" + view.revision() + "&waitMs=" + waitMs,
         null,
--- a/src/test/java/org/baygw/control/sim/FailoverOnLoopback.java
+++ b/src/test/java/org/baygw/control/sim/FailoverOnLoopback.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
@@ -62,6 +63,27 @@
     System.out.println(leader.table() + partitions.table());
   }
 
+  /** What controllers use while nothing fails: after the start, with steady work, and when idle. */
+  @Test
+  void cost() throws Exception {
+    Scenario scenario =
+        Scenario.prepare(
+            "zones a b\nmachines zone=a count=6\nmachines zone=b count=5\nset boot=4 capacity=14\n"
+                + "at 25 every 0.4 until 85 submit run-# tasks=2 run=4 cpus=2\nrun 150");
+    Path logs = LOGS.resolve("cost" + (STANDBY ? "-on" : "-off"));
+    Files.createDirectories(logs);
+    scenario.setUpWorld();
+    try (ProcessCluster cluster =
+        new ProcessCluster(scenario.world(), ProcessDays.command(STANDBY), logs)) {
+      scenario.begin();
+      for (int second : new int[] {25, 85, 90, 150}) {
+        cluster.runUntil(second * 1_000L);
+        System.out.println("standby " + STANDBY + ", after " + second + " s: " + cluster.usage());
+      }
+    }
+    assertEquals(List.of(), scenario.judge());
+  }
+
   @Test
   void randomDays() throws Exception {
     int done = 0;
--- a/src/test/java/org/baygw/control/sim/ProcessCluster.java
+++ b/src/test/java/org/baygw/control/sim/ProcessCluster.java
@@ -21,6 +21,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.TreeMap;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.LinkedBlockingQueue;
@@ -283,6 +284,21 @@
                     }));
   }
 
+  /** What each process has used so far: processor time in ms, and resident memory in MB. */
+  Map<String, String> usage() throws IOException {
+    Map<String, String> usage = new TreeMap<>();
+    for (Map.Entry<String, Process> entry : processes.entrySet()) {
+      long cpuMs = entry.getValue().info().totalCpuDuration().orElse(Duration.ZERO).toMillis();
+      Path status = Path.of("/proc", String.valueOf(entry.getValue().pid()), "status");
+      long kb = 0;
+      for (String line : Files.readAllLines(status)) {
+        kb = line.startsWith("VmRSS:") ? Long.parseLong(line.replaceAll("\\D", "")) : kb;
+      }
+      usage.put(entry.getKey(), cpuMs + " ms, " + kb / 1024 + " MB");
+    }
+    return usage;
+  }
+
   @Override
   public String address(String worker) {
     return workerAddresses.computeIfAbsent(
