--- a/src/test/java/org/baygw/control/sim/FailoverOnLoopback.java
+++ b/src/test/java/org/baygw/control/sim/FailoverOnLoopback.java
@@ -63,6 +63,15 @@
     System.out.println(leader.table() + partitions.table());
   }
 
+  @Test
+  void pauses() throws Exception {
+    int done = 0;
+    for (Scenario scenario : play(seed -> ProcessDays.pauses(seed, SECONDS))) {
+      done += scenario.world().checker.doneTold.size();
+    }
+    System.out.println(CLUSTERS + " days of pauses, " + done + " jobs done");
+  }
+
   /** What controllers use while nothing fails: after the start, with steady work, and when idle. */
   @Test
   void cost() throws Exception {
--- a/src/test/java/org/baygw/control/sim/InvariantChecker.java
+++ b/src/test/java/org/baygw/control/sim/InvariantChecker.java
@@ -267,6 +267,9 @@
     stuck.remove(w);
   }
 
+  /** The highest epoch in which each worker has obeyed. */
+  private final Map<String, Long> obeyedEpochs = new HashMap<>();
+
   /**
    * A worker obeyed a message with this token: its epoch must be of a claim of the controller that
    * sent it. Which process of several on loopback sent it cannot be told.
@@ -277,6 +280,10 @@
     if (claimant == null || !from.equals(claimant) && !from.equals(ProcessCluster.ANY)) {
       breaks("not_the_owner", worker + " obeyed " + from + " in epoch " + epoch);
     }
+    long before = obeyedEpochs.merge(worker, epoch, Math::max);
+    if (epoch < before) {
+      breaks("obeyed_old_epoch", worker + " obeyed epoch " + epoch + " after " + before);
+    }
   }
 
   /** The final states that users were told, by job: there may be one only. */
--- a/src/test/java/org/baygw/control/sim/ProcessDays.java
+++ b/src/test/java/org/baygw/control/sim/ProcessDays.java
@@ -69,6 +69,20 @@
     return day.append("run ").append(seconds).append("\n").toString();
   }
 
+  /** The leader's controller stands still for about as long as its lease lives, again and again. */
+  static String pauses(long seed, int seconds) {
+    Random random = new Random(seed);
+    StringBuilder day = new StringBuilder(setUp(seed));
+    double last = seconds - 30;
+    day.append(
+        String.format(Locale.ROOT, "at 4 every 0.4 until %.1f submit run-# tasks=2 run=5%n", last));
+    for (double at = 12; at < last; at += 10) {
+      double span = 3.6 + random.nextDouble();
+      day.append(String.format(Locale.ROOT, "at %.2f freeze-leader for %.2f%n", at, span));
+    }
+    return day.append("run ").append(seconds).append("\n").toString();
+  }
+
   /** The leader's controller is killed again and again, and is back after 9 s. */
   static String kills(long seed, int count) {
     Random random = new Random(seed);
--- a/src/test/java/org/baygw/control/sim/ScenarioActions.java
+++ b/src/test/java/org/baygw/control/sim/ScenarioActions.java
@@ -59,7 +59,7 @@
     if (w[3].equals("silence")) {
       users.unasked.add(w[4]);
     } else if (w[3].equals("obey")) {
-      world.checker.obeyed(w[4], Long.MAX_VALUE, w[5]);
+      world.checker.obeyed(w[4], w.length > 6 ? Long.parseLong(w[6]) : Long.MAX_VALUE, w[5]);
     } else if (w[3].equals("launch")) {
       world.workers.get(w[4]).force(w[5]);
     } else {
