--- a/review/src/review/Rig.java
+++ b/review/src/review/Rig.java
@@ -205,6 +205,9 @@
   }
 
   void after(long ms, Runnable action) {
+    if (loop.isShutdown()) {
+      return;
+    }
     loop.schedule(() -> safely(action), Math.max(0, ms), TimeUnit.MILLISECONDS);
   }
 
