--- a/src/main/java/org/baygw/control/workers/PartitionWriter.java
+++ b/src/main/java/org/baygw/control/workers/PartitionWriter.java
@@ -1,7 +1,5 @@
 package org.baygw.control.workers;
 
-import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
@@ -9,7 +7,6 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Set;
-import java.util.TreeMap;
 import org.baygw.control.Constants;
 import org.baygw.control.config.Settings;
 import org.baygw.control.core.Clock;
@@ -24,7 +21,6 @@
 import org.baygw.control.store.Keys;
 import org.baygw.control.store.StateCache;
 import org.baygw.control.store.Store;
-import org.baygw.control.store.Txn;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -75,160 +71,6 @@
   private long nextPlacement;
   private long seenChanges = -1;
 
-  /**
-   * A write being prepared: changed pages of the record, and the other keys that are written with
-   * them. Pages are copied only when needed, so that the cost of a write depends on what it
-   * changes.
-   */
-  private final class Draft implements BestFitPlacer.RecordSpace {
-    final Txn txn = new Txn().when(Keys.claim(partition.toString()), claim);
-    final int pages = cache.pages().count(partition);
-    private final Map<Integer, PartitionRecord> copies = new HashMap<>();
-    private final Map<Integer, Integer> sizes = new HashMap<>();
-    final Set<Integer> changedPages = new LinkedHashSet<>();
-    final Map<String, Map<TaskId, Integer>> tasksOn = new LinkedHashMap<>();
-    final Map<Integer, Map<String, TreeMap<Integer, Integer>>> doneTasks = new HashMap<>();
-    final Map<Integer, Map<String, TreeMap<Integer, Integer>>> returnedTasks = new HashMap<>();
-    final Set<String> handledMachines = new HashSet<>();
-    final Set<String> placedOn = new LinkedHashSet<>();
-    final List<Runnable> onSuccess = new ArrayList<>();
-    PartitionWriter moveTarget;
-
-    int pageOf(String machine) {
-      return PartitionRecord.pageOf(machine, pages);
-    }
-
-    /** The editable copy of a page, without ended tasks that their progress includes. */
-    PartitionRecord editable(int page) {
-      PartitionRecord copy = copies.get(page);
-      if (copy == null) {
-        copy = cache.pages().get(partition, page).copy();
-        EndedTasks.removeRecorded(copy, cache);
-        copies.put(page, copy);
-      }
-      return copy;
-    }
-
-    /** Size of a page in bytes, with what this write adds to it. */
-    int size(int page) {
-      Integer known = sizes.get(page);
-      if (known == null) {
-        known = cache.pages().bytes(partition, page);
-        if (known > pageLimitBytes() * Constants.RECORD_FULL_SHARE) {
-          known = editable(page).size(); // the copy leaves out ended tasks that progress includes
-        }
-        sizes.put(page, known);
-      }
-      return known;
-    }
-
-    /** The page with the fewest bytes, among the changed ones if there are any. */
-    int smallestPage() {
-      int best = -1;
-      for (int page = 0; page < pages; page++) {
-        if ((changedPages.isEmpty() || changedPages.contains(page))
-            && (best < 0 || size(page) < size(best))) {
-          best = page;
-        }
-      }
-      return best;
-    }
-
-    int writes() {
-      return txn.writeCount() + changedPages.size();
-    }
-
-    boolean changed() {
-      return writes() > 0;
-    }
-
-    /** Whether the page is in this write or fits its limits on pages, bytes and operations. */
-    boolean canChange(int page) {
-      if (changedPages.contains(page)) {
-        return true;
-      }
-      int bytes = size(page);
-      for (int other : changedPages) {
-        bytes += size(other);
-      }
-      return changedPages.size() < maxPagesPerWrite()
-          && bytes < Constants.MAX_BODY_BYTES * Constants.RECORD_WRITE_SHARE
-          && writes() < settings.state().txnOps();
-    }
-
-    void markChanged(int page) {
-      changedPages.add(page);
-    }
-
-    /** Sets the number of pages of the record, which is stored on the first page. */
-    void setPages(int count) {
-      copies.put(0, editable(0).withPageCount(count));
-    }
-
-    @Override
-    public boolean hasSpace(String machine) {
-      int page = pageOf(machine);
-      return size(page) < pageLimitBytes() * Constants.RECORD_FULL_SHARE && canChange(page);
-    }
-
-    @Override
-    public boolean reserve(String machine, int bytes) {
-      int page = pageOf(machine);
-      boolean newlyChanged = changedPages.add(page);
-      sizes.put(page, size(page) + bytes);
-      return newlyChanged || !hasSpace(machine);
-    }
-
-    Map<TaskId, Integer> editableTasks(String machine) {
-      markChanged(pageOf(machine));
-      return tasksOn.computeIfAbsent(machine, k -> new LinkedHashMap<>(cache.tasksOn(machine)));
-    }
-
-    void addEnded(
-        Map<Integer, Map<String, TreeMap<Integer, Integer>>> ended,
-        int page,
-        TaskId task,
-        int value) {
-      markChanged(page);
-      ended
-          .computeIfAbsent(page, k -> new HashMap<>())
-          .computeIfAbsent(task.job(), k -> new TreeMap<>())
-          .put(task.index(), value);
-    }
-
-    /** Adds the changed pages to the transaction. */
-    Txn buildTxn() {
-      tasksOn.forEach(
-          (machine, tasks) -> {
-            PartitionRecord record = editable(pageOf(machine));
-            if (tasks.isEmpty()) {
-              record.tasksByMachine().remove(machine);
-            } else {
-              record.tasksByMachine().put(machine, PartitionRecord.tasks(tasks));
-            }
-          });
-      doneTasks.forEach(
-          (page, m) ->
-              m.forEach((job, l) -> EndedTasks.add(editable(page).completedByJob(), job, l)));
-      returnedTasks.forEach(
-          (page, m) ->
-              m.forEach((job, l) -> EndedTasks.add(editable(page).requeuedByJob(), job, l)));
-      // The first page holds the number of pages, which determines the page of each machine.
-      txn.when(Keys.record(partition, 0), cache.stamp(Keys.record(partition, 0)));
-      for (int page : changedPages) {
-        String key = Keys.record(partition, page);
-        txn.when(key, cache.stamp(key)).put(key, Records.partitionRecord(editable(page)));
-      }
-      return txn;
-    }
-  }
-
-  /** Maximum number of pages in one write: its other operations are for jobs and moves. */
-  private int maxPagesPerWrite() {
-    int maxPages = (int) Math.ceil(settings.state().txnOps() * Constants.RECORD_WRITE_SHARE);
-    return Math.min(maxPages, cache.pages().count(partition));
-  }
-
   PartitionWriter(
       Partition partition,
       long claim,
@@ -274,12 +116,13 @@
     }
     long minIntervalMs =
         Constants.RECORD_WRITE_INTERVAL_MS
-            + Constants.RECORD_WRITE_INTERVAL_PER_PAGE_MS * (maxPagesPerWrite() - 1);
+            + Constants.RECORD_WRITE_INTERVAL_PER_PAGE_MS
+                * (PartitionDraft.maxPages(settings, cache, partition) - 1);
     if (store.writeTokensLow() && now < lastWrite + minIntervalMs) {
       return; // changes until then share the write
     }
     queued = true;
-    Draft[] draft = new Draft[1];
+    PartitionDraft[] draft = new PartitionDraft[1];
     store.txnWithRetry(
         Store.Urgency.LAUNCH,
         () -> {
@@ -299,7 +142,7 @@
         });
   }
 
-  private void writeFinished(Draft draft, boolean ok) {
+  private void writeFinished(PartitionDraft draft, boolean ok) {
     writing = false;
     tasksInWrite.clear();
     nextPlacement = 0;
@@ -315,20 +158,16 @@
     }
   }
 
-  private int pageLimitBytes() {
-    return (int) (settings.state().valueKb() * 1024);
-  }
-
-  private Draft buildDraft() {
+  private PartitionDraft buildDraft() {
     tasksInWrite.clear();
-    Draft split = splitPages();
+    PartitionDraft split = splitPages();
     if (split != null) {
       return split;
     }
-    Draft draft = new Draft();
+    PartitionDraft draft = new PartitionDraft(partition, claim, settings, cache);
     for (String name : List.copyOf(dirty)) {
       int page = draft.pageOf(name);
-      if (draft.size(page) < pageLimitBytes() - Constants.RECORD_SPARE_BYTES
+      if (draft.size(page) < PartitionDraft.pageLimitBytes(settings) - Constants.RECORD_SPARE_BYTES
           && draft.canChange(page)
           && draft.handledMachines.size() < Constants.MACHINES_PER_WRITE) {
         dirty.remove(name);
@@ -354,12 +193,12 @@
    * page that the number determines: before the write, after it, and if this controller crashes at
    * any time. The write contains nothing else. The number of pages has no upper bound.
    */
-  private Draft splitPages() {
+  private PartitionDraft splitPages() {
     if (!splitNeeded()) {
       return null;
     }
     int pagesBefore = cache.pages().count(partition);
-    Draft draft = new Draft();
+    PartitionDraft draft = new PartitionDraft(partition, claim, settings, cache);
     draft.markChanged(0);
     int pagesAfter = pagesBefore;
     int bytes = draft.size(0);
@@ -396,8 +235,9 @@
       maxBytes = Math.max(maxBytes, bytes);
       totalBytes += bytes;
     }
-    return maxBytes > pageLimitBytes() * Constants.RECORD_SPLIT_SHARE
-        && totalBytes > pages * pageLimitBytes() * Constants.RECORD_SPLIT_MEAN_SHARE;
+    return maxBytes > PartitionDraft.pageLimitBytes(settings) * Constants.RECORD_SPLIT_SHARE
+        && totalBytes
+            > pages * PartitionDraft.pageLimitBytes(settings) * Constants.RECORD_SPLIT_MEAN_SHARE;
   }
 
   /** Moves the machines that belong on a new page to it, given the new number of pages. */
@@ -420,7 +260,7 @@
   }
 
   /** Removes tasks that are proved to have left a machine, and updates the machine's condition. */
-  private void applyMachineChanges(Draft draft, String name) {
+  private void applyMachineChanges(PartitionDraft draft, String name) {
     StateCache.Entry<Machine> entry = cache.machines.get(name);
     if (entry == null) {
       return;
@@ -474,7 +314,7 @@
    * Adds the task to the machine that a round chose, under the next attempt, in the write that
    * removes it from its present one. Returns false if the move cannot be made now.
    */
-  private boolean moveTask(Draft draft, WorkerSession from, TaskId task) {
+  private boolean moveTask(PartitionDraft draft, WorkerSession from, TaskId task) {
     String name = rounds.target(task, from.name);
     StateCache.Entry<Machine> entry = name == null ? null : cache.machines.get(name);
     StateCache.Entry<Job> jobEntry = cache.jobs.get(task.job());
@@ -538,7 +378,7 @@
   }
 
   /** Marks jobs as done whose last tasks end in this write, and deletes their progress. */
-  private void completeJobs(Draft draft) {
+  private void completeJobs(PartitionDraft draft) {
     Map<String, Integer> ended = new LinkedHashMap<>();
     draft
         .doneTasks
@@ -575,11 +415,11 @@
     }
   }
 
-  private void placeTasks(Draft draft) {
+  private void placeTasks(PartitionDraft draft) {
     int maxConditions =
         settings.state().txnOps() * 4
             - draft.txn.conditionCount()
-            - maxPagesPerWrite()
+            - PartitionDraft.maxPages(settings, cache, partition)
             - OTHER_CONDITIONS;
     BestFitPlacer.Plan plan = placer.plan(partition, claim, tasksInWrite, maxConditions, draft);
     plan.returned()
