--- a/src/main/java/org/baygw/control/Constants.java
+++ b/src/main/java/org/baygw/control/Constants.java
@@ -11,7 +11,7 @@
    */
   public static final double PARTITIONS_PER_CONTROLLER = 2;
 
-  /** Tasks per progress key: 128 live tasks take about 3 KiB, well below the 8 KiB of a value. */
+  /** Tasks per progress key; part of the format of stored data. */
   public static final int CHUNK_TASKS = 128;
 
   /** Maximum tasks recorded on one machine; a page of 8 KiB holds several such machines. */
--- a/src/main/java/org/baygw/control/config/Settings.java
+++ b/src/main/java/org/baygw/control/config/Settings.java
@@ -84,7 +84,16 @@
   }
 
   /** Limits of the state service. */
-  public record StateLimits(double rps, double writeRps, double valueKb, int txnOps) {}
+  public record StateLimits(double rps, double writeRps, double valueKb, int txnOps) {
+    /**
+     * Largest value to store, in bytes: the limit on values, or what a write can hold besides its
+     * other changes if that is less.
+     */
+    public int maxValueBytes() {
+      double writeBytes = Constants.MAX_BODY_BYTES * Constants.RECORD_WRITE_SHARE;
+      return (int) Math.min(valueKb * 1024, writeBytes);
+    }
+  }
 
   /** Request limit of the cloud and the lag of its machine list. */
   public record CloudLimits(double rps, double listLagS) {}
--- a/src/main/java/org/baygw/control/core/Json.java
+++ b/src/main/java/org/baygw/control/core/Json.java
@@ -11,8 +11,10 @@
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.MissingNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.google.common.io.CountingOutputStream;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
+import java.io.OutputStream;
 import java.util.Iterator;
 import java.util.Map;
 
@@ -120,6 +122,17 @@
     return bytes.toByteArray();
   }
 
+  /** The number of bytes that {@link #bytes} returns for the tree. */
+  public static int size(JsonNode node) {
+    CountingOutputStream counter = new CountingOutputStream(OutputStream.nullOutputStream());
+    try (JsonGenerator generator = LENIENT.createGenerator(counter)) {
+      write(node, generator);
+    } catch (IOException e) {
+      throw new IllegalStateException("counting the bytes of JSON failed", e);
+    }
+    return (int) counter.getCount();
+  }
+
   private static void write(JsonNode node, JsonGenerator generator) throws IOException {
     switch (node.getNodeType()) {
       case OBJECT -> {
--- a/src/main/java/org/baygw/control/jobs/Jobs.java
+++ b/src/main/java/org/baygw/control/jobs/Jobs.java
@@ -275,7 +275,7 @@
     TreeMap<Integer, StateCache.Entry<Progress>> chunks = cache.progress.get(id);
     if (chunks != null) {
       for (StateCache.Entry<Progress> p : chunks.values()) {
-        done += p.value().done.cardinality();
+        done += p.value().doneCount();
         for (int i : p.value().live.keySet()) {
           if (cache.taskMachines.containsKey(new TaskId(id, i))) {
             running++;
--- a/src/main/java/org/baygw/control/model/Records.java
+++ b/src/main/java/org/baygw/control/model/Records.java
@@ -4,8 +4,6 @@
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.ArrayList;
-import java.util.Base64;
-import java.util.BitSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -77,39 +75,6 @@
         node.path("cancelled_ms").asLong());
   }
 
-  public static ObjectNode progress(Progress progress) {
-    ObjectNode node = Json.object();
-    node.put("done", Base64.getEncoder().encodeToString(progress.done.toByteArray()));
-    ArrayNode live = node.putArray("live");
-    progress.live.forEach(
-        (i, task) -> {
-          ArrayNode a = live.addArray().add(i).add(task.attempt()).add(task.partition().toString());
-          if (task.stopRequested()) {
-            a.add(true);
-          }
-        });
-    ArrayNode tried = node.putArray("tried");
-    progress.lastAttempts.forEach((i, a) -> tried.addArray().add(i).add(a));
-    return node;
-  }
-
-  public static Progress progress(JsonNode node) {
-    Progress progress = new Progress();
-    progress.done.or(BitSet.valueOf(Base64.getDecoder().decode(node.path("done").asText(""))));
-    for (JsonNode task : node.path("live")) {
-      progress.live.put(
-          task.path(0).asInt(),
-          new Progress.LiveTask(
-              task.path(1).asInt(),
-              Partition.parse(task.path(2).asText()),
-              task.path(3).asBoolean()));
-    }
-    for (JsonNode t : node.path("tried")) {
-      progress.lastAttempts.put(t.path(0).asInt(), t.path(1).asInt());
-    }
-    return progress;
-  }
-
   /** A machine's own record; its tasks and condition are in its partition's record. */
   public static ObjectNode machine(Machine machine) {
     return Json.object()
--- a/src/main/java/org/baygw/control/quota/FreeCapacity.java
+++ b/src/main/java/org/baygw/control/quota/FreeCapacity.java
@@ -73,7 +73,7 @@
 
   /** The pages of a partition's record that have no space for more tasks. */
   private Set<Integer> fullPages(Partition partition, int pageCount) {
-    int limitBytes = (int) (settings.state().valueKb() * 1024 * Constants.RECORD_FULL_SHARE);
+    int limitBytes = (int) (settings.state().maxValueBytes() * Constants.RECORD_FULL_SHARE);
     Set<Integer> full = new HashSet<>();
     for (int i = 0; i < pageCount; i++) {
       if (stateCache.pages().bytes(partition, i) > limitBytes) {
--- a/src/main/java/org/baygw/control/quota/PartitionAvoidance.java
+++ b/src/main/java/org/baygw/control/quota/PartitionAvoidance.java
@@ -66,11 +66,11 @@
 
   private boolean returnedUnplaced(TaskId task) {
     StateCache.Entry<Job> job = cache.jobs.get(task.job());
-    Progress progress = cache.progress(task.job(), task.index() / Constants.CHUNK_TASKS);
+    Progress progress = cache.progress(task.job(), Progress.chunkOf(task.index()));
     return job != null
         && job.value().open()
         && progress != null
-        && !progress.done.get(task.index())
+        && !progress.isDone(task.index())
         && !cache.taskMachines.containsKey(task);
   }
 }
--- a/src/main/java/org/baygw/control/quota/Preemption.java
+++ b/src/main/java/org/baygw/control/quota/Preemption.java
@@ -9,6 +9,7 @@
 import java.util.ListIterator;
 import java.util.Map;
 import java.util.Set;
+import java.util.TreeMap;
 import java.util.function.Predicate;
 import java.util.function.ToDoubleFunction;
 import org.baygw.control.Constants;
@@ -18,11 +19,11 @@
 import org.baygw.control.model.JobSpec;
 import org.baygw.control.model.Machine;
 import org.baygw.control.model.Progress;
-import org.baygw.control.model.Records;
 import org.baygw.control.model.TaskId;
 import org.baygw.control.placement.CapacityCache;
 import org.baygw.control.placement.MachineCapacity;
 import org.baygw.control.store.Keys;
+import org.baygw.control.store.ProgressCodec;
 import org.baygw.control.store.StateCache;
 import org.baygw.control.store.Store;
 import org.baygw.control.store.Txn;
@@ -53,6 +54,7 @@
   private final Membership membership;
   private final CapacityCache capacityCache;
   private final JobWrites writes;
+  private final ProgressCodec codec;
 
   /** Names of the teams without a guarantee. */
   private final List<String> teamsWithoutGuarantee;
@@ -80,12 +82,14 @@
       Membership membership,
       CapacityCache capacityCache,
       JobWrites writes,
+      ProgressCodec codec,
       ToDoubleFunction<TaskId> grantAgeS) {
     this.settings = settings;
     this.cache = cache;
     this.membership = membership;
     this.capacityCache = capacityCache;
     this.writes = writes;
+    this.codec = codec;
     this.grantAgeS = grantAgeS;
     this.teamsWithoutGuarantee =
         settings.teams().stream()
@@ -390,33 +394,33 @@
         : Math.min(spec.estimateS(), grantAgeS.applyAsDouble(task));
   }
 
+  /** Writes the requests to stop a job's tasks; those beyond the limits of a write are left out. */
   private void stop(String job, List<Victim> victims) {
-    Txn txn = new Txn().when(Keys.claim(Keys.LEADER), membership.leaderClaimStamp());
-    Map<Integer, Progress> updatedChunks = new LinkedHashMap<>();
+    Map<Integer, List<TaskId>> tasksByChunk = new TreeMap<>();
     for (Victim victim : victims) {
-      int index = victim.task().index();
-      int chunk = index / Constants.CHUNK_TASKS;
-      if (updatedChunks.containsKey(chunk) || updatedChunks.size() < settings.state().txnOps()) {
-        Progress progress =
-            updatedChunks.computeIfAbsent(chunk, c -> cache.progress(job, c).copy());
-        Progress.LiveTask live = progress.live.get(index);
-        progress.live.put(index, new Progress.LiveTask(live.attempt(), live.partition(), true));
-      }
+      int chunk = Progress.chunkOf(victim.task().index());
+      tasksByChunk.computeIfAbsent(chunk, c -> new ArrayList<>()).add(victim.task());
     }
-    updatedChunks.forEach(
-        (chunk, progress) -> {
+    Txn txn = new Txn().when(Keys.claim(Keys.LEADER), membership.leaderClaimStamp());
+    List<TaskId> written = new ArrayList<>();
+    tasksByChunk.forEach(
+        (chunk, tasks) -> {
           String key = Keys.progress(job, chunk);
-          txn.when(key, cache.stamp(key)).put(key, Records.progress(progress));
+          if (txn.hasSpaceFor(key, codec.maxBytes(chunk), settings.state())) {
+            Progress progress = cache.progress(job, chunk).copy();
+            tasks.forEach(task -> progress.requestStop(task.index()));
+            txn.when(key, cache.stamp(key)).put(key, codec.encode(chunk, progress));
+            written.addAll(tasks);
+          }
         });
-    List<TaskId> tasks = victims.stream().map(Victim::task).toList();
-    stopping.addAll(tasks);
+    stopping.addAll(written);
     writes.write(
         job,
         Store.Urgency.GRANT,
         txn,
         succeeded -> {
           if (!succeeded) {
-            stopping.removeAll(tasks);
+            stopping.removeAll(written);
           }
         });
   }
--- a/src/main/java/org/baygw/control/quota/ProgressFolding.java
+++ b/src/main/java/org/baygw/control/quota/ProgressFolding.java
@@ -9,8 +9,8 @@
 import org.baygw.control.model.Partition;
 import org.baygw.control.model.PartitionRecord;
 import org.baygw.control.model.Progress;
-import org.baygw.control.model.Records;
 import org.baygw.control.store.Keys;
+import org.baygw.control.store.ProgressCodec;
 import org.baygw.control.store.StateCache;
 import org.baygw.control.store.Store;
 import org.baygw.control.store.Txn;
@@ -25,14 +25,21 @@
   private final StateCache cache;
   private final Membership membership;
   private final JobWrites writes;
+  private final ProgressCodec codec;
   private final int limitBytes;
 
-  ProgressFolding(Settings settings, StateCache cache, Membership membership, JobWrites writes) {
+  ProgressFolding(
+      Settings settings,
+      StateCache cache,
+      Membership membership,
+      JobWrites writes,
+      ProgressCodec codec) {
     this.settings = settings;
+    this.codec = codec;
     this.cache = cache;
     this.membership = membership;
     this.writes = writes;
-    this.limitBytes = (int) (settings.state().valueKb() * 1024 * Constants.RECORD_ENDED_SHARE);
+    this.limitBytes = (int) (settings.state().maxValueBytes() * Constants.RECORD_ENDED_SHARE);
   }
 
   void run() {
@@ -71,17 +78,17 @@
     chunks.forEach(
         (chunk, entry) -> {
           Progress written = cache.storedProgress(job, chunk);
+          String key = Keys.progress(job, chunk);
           if (written != null
               && differs(written, entry.value())
-              && txn.writeCount() < settings.state().txnOps()) {
-            String key = Keys.progress(job, chunk);
-            txn.when(key, cache.stamp(key)).put(key, Records.progress(entry.value()));
+              && txn.hasSpaceFor(key, codec.maxBytes(chunk), settings.state())) {
+            txn.when(key, cache.stamp(key)).put(key, codec.encode(chunk, entry.value()));
           }
         });
     return txn;
   }
 
   private static boolean differs(Progress written, Progress current) {
-    return written.live.size() != current.live.size() || !written.done.equals(current.done);
+    return written.live.size() != current.live.size() || !written.sameDone(current);
   }
 }
--- a/src/main/java/org/baygw/control/quota/Scheduler.java
+++ b/src/main/java/org/baygw/control/quota/Scheduler.java
@@ -23,6 +23,7 @@
 import org.baygw.control.model.TaskId;
 import org.baygw.control.placement.CapacityCache;
 import org.baygw.control.store.Keys;
+import org.baygw.control.store.ProgressCodec;
 import org.baygw.control.store.StateCache;
 import org.baygw.control.store.Store;
 import org.baygw.control.store.Txn;
@@ -45,6 +46,7 @@
   private final ZoneRules zones;
   private final CapacityCache capacityCache;
   private final JobWrites writes;
+  private final ProgressCodec progressCodec;
   private final PartitionAvoidance avoidance;
   private final ProgressFolding folding;
   private final Preemption preemption;
@@ -80,9 +82,11 @@
     this.capacityCache = new CapacityCache(cache);
     this.writes = new JobWrites(store, this::requestPass);
     this.avoidance = new PartitionAvoidance(clock, cache, membership);
-    this.folding = new ProgressFolding(settings, cache, membership, writes);
+    this.progressCodec = new ProgressCodec(settings.state(), settings.zones());
+    this.folding = new ProgressFolding(settings, cache, membership, writes, progressCodec);
     this.preemption =
-        new Preemption(settings, cache, membership, capacityCache, writes, this::grantAgeS);
+        new Preemption(
+            settings, cache, membership, capacityCache, writes, progressCodec, this::grantAgeS);
   }
 
   /** Tasks for which the latest pass found no capacity. */
@@ -195,7 +199,7 @@
       int[] liveByZone = zones.emptyCounts();
       for (StateCache.Entry<Progress> chunk : chunks.values()) {
         live += chunk.value().live.size();
-        done += chunk.value().done.cardinality();
+        done += chunk.value().doneCount();
         if (spec.spread() || spec.oneZone()) {
           zones.addLive(chunk.value(), liveByZone);
         }
@@ -324,61 +328,100 @@
 
   /** The tasks of one job that are granted in one pass. */
   private final class JobGrant {
+    /** Why the grant of a chunk's tasks ended. */
+    private enum ChunkOutcome {
+      /** Other chunks may have tasks to grant. */
+      CHUNK_DONE,
+      LIMIT_REACHED,
+      OUT_OF_CAPACITY
+    }
+
     private final QueuedJob job;
     private final int[] liveByZone;
     private final int allowed;
-    private final Map<Integer, Progress> updatedChunks = new LinkedHashMap<>();
+    private final Txn txn;
     private final Map<Partition, Integer> tasksByPartition = new HashMap<>();
     private final List<Integer> grantedIndexes = new ArrayList<>();
+    private FreeCapacity.Candidate candidate;
     private int grantedCount;
 
     JobGrant(QueuedJob job, int[] liveByZone, int allowed) {
       this.job = job;
       this.liveByZone = liveByZone;
       this.allowed = allowed;
+      this.txn =
+          new Txn()
+              .when(Keys.claim(Keys.LEADER), membership.leaderClaimStamp())
+              .when(Keys.job(job.id()), job.stamp());
     }
 
     /** Grants tasks as far as limits and capacity allow; false only if capacity ran out. */
     boolean grantTasks(FreeCapacity freeCapacity) {
-      JobSpec spec = job.spec();
-      FreeCapacity.Candidate candidate = null;
-      for (int chunk = 0; chunk * Constants.CHUNK_TASKS < spec.tasks(); chunk++) {
-        if (updatedChunks.size() >= settings.state().txnOps() / 2) {
-          return true;
+      ChunkOutcome outcome = ChunkOutcome.CHUNK_DONE;
+      for (int chunk = 0;
+          outcome == ChunkOutcome.CHUNK_DONE
+              && Progress.firstIndex(chunk) < job.spec().tasks()
+              && hasSpaceForChunk(chunk);
+          chunk++) {
+        outcome = grantChunk(chunk, freeCapacity);
+      }
+      return outcome != ChunkOutcome.OUT_OF_CAPACITY;
+    }
+
+    /** Whether the write can take a chunk; otherwise the next pass grants the job's other tasks. */
+    private boolean hasSpaceForChunk(int chunk) {
+      return txn.writeCount() == 0
+          || txn.writeCount() < settings.state().txnOps() / 2
+              && txn.hasSpaceFor(
+                  Keys.progress(job.id(), chunk), progressCodec.maxBytes(chunk), settings.state());
+    }
+
+    private ChunkOutcome grantChunk(int chunk, FreeCapacity freeCapacity) {
+      Progress stored = cache.progress(job.id(), chunk);
+      Progress progress = stored == null ? new Progress(chunk) : stored;
+      int grantedBefore = grantedCount;
+      ChunkOutcome outcome = ChunkOutcome.CHUNK_DONE;
+      int end = Math.min(job.spec().tasks(), Progress.firstIndex(chunk + 1));
+      for (int i = Progress.firstIndex(chunk); i < end; i++) {
+        if (progress.isDone(i) || progress.live.containsKey(i)) {
+          continue;
         }
-        Progress current = cache.progress(job.id(), chunk);
-        int end = Math.min(spec.tasks(), (chunk + 1) * Constants.CHUNK_TASKS);
-        for (int i = chunk * Constants.CHUNK_TASKS; i < end; i++) {
-          if (current != null && (current.done.get(i) || current.live.containsKey(i))) {
-            continue;
-          }
-          if (grantedCount >= allowed) {
-            return true;
-          }
-          boolean reuse =
-              candidate != null
-                  && !spec.service()
-                  && !spec.spread()
-                  && candidate.capacity().fits(spec);
-          candidate =
-              reuse
-                  ? candidate
-                  : freeCapacity.findCandidate(
-                      spec, liveByZone, avoidance.avoidedPartitions(job.id()));
-          if (candidate == null) {
-            return false;
-          }
-          add(chunk, current, i, candidate);
+        if (grantedCount >= allowed) {
+          outcome = ChunkOutcome.LIMIT_REACHED;
+          break;
         }
+        if (!progressCodec.hasSpaceFor(progress, i)) {
+          break; // the chunk's other tasks are granted once some of these have ended
+        }
+        candidate = nextCandidate(freeCapacity);
+        if (candidate == null) {
+          outcome = ChunkOutcome.OUT_OF_CAPACITY;
+          break;
+        }
+        progress = progress == stored ? stored.copy() : progress;
+        progress.grant(i, candidate.partition());
+        reserve(i);
+      }
+      if (grantedCount > grantedBefore) {
+        String key = Keys.progress(job.id(), chunk);
+        txn.when(key, cache.stamp(key)).put(key, progressCodec.encode(chunk, progress));
       }
-      return true;
+      return outcome;
+    }
+
+    /** The last candidate as long as tasks fit there, unless they are to be spread; or null. */
+    private FreeCapacity.Candidate nextCandidate(FreeCapacity freeCapacity) {
+      JobSpec spec = job.spec();
+      boolean reuse =
+          candidate != null && !spec.service() && !spec.spread() && candidate.capacity().fits(spec);
+      return reuse
+          ? candidate
+          : freeCapacity.findCandidate(spec, liveByZone, avoidance.avoidedPartitions(job.id()));
     }
 
-    private void add(int chunk, Progress current, int index, FreeCapacity.Candidate candidate) {
+    /** Counts a task as granted to the current candidate. */
+    private void reserve(int index) {
       candidate.capacity().reserve(job.spec());
-      updatedChunks
-          .computeIfAbsent(chunk, k -> current == null ? new Progress() : current.copy())
-          .grant(index, candidate.partition());
       tasksByPartition.merge(candidate.partition(), 1, Integer::sum);
       grantedAt.put(new TaskId(job.id(), index), clock.now());
       grantedIndexes.add(index);
@@ -387,15 +430,6 @@
     }
 
     void write() {
-      Txn txn =
-          new Txn()
-              .when(Keys.claim(Keys.LEADER), membership.leaderClaimStamp())
-              .when(Keys.job(job.id()), job.stamp());
-      updatedChunks.forEach(
-          (chunk, progress) -> {
-            String key = Keys.progress(job.id(), chunk);
-            txn.when(key, cache.stamp(key)).put(key, Records.progress(progress));
-          });
       LOG.debug("granting {} tasks of job {}", grantedCount, job.id());
       replication.tasksGranted(job.id(), grantedIndexes);
       writes.grant(job.id(), tasksByPartition, txn);
--- /dev/null
+++ b/src/main/java/org/baygw/control/store/ProgressCodec.java
@@ -0,0 +1,141 @@
+package org.baygw.control.store;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.google.common.base.Utf8;
+import java.util.Base64;
+import java.util.BitSet;
+import java.util.List;
+import org.baygw.control.Constants;
+import org.baygw.control.config.Settings;
+import org.baygw.control.core.Json;
+import org.baygw.control.model.Partition;
+import org.baygw.control.model.Progress;
+
+/**
+ * Converts the progress of a chunk of tasks to and from its JSON form in the state service, and
+ * limits the tasks of a chunk that are granted at once to what one value can hold.
+ *
+ * <p>Completed tasks are a bit set in Base64, in one of two forms. In {@code done} it counts from
+ * the job's first task, so its length grows with the number of the chunk. In {@code done_in_chunk}
+ * it counts from the chunk's first task. Earlier versions know only the first form, which is
+ * therefore used as long as the value fits the limit with it.
+ */
+public final class ProgressCodec {
+  private static final String DONE = "done";
+  private static final String DONE_IN_CHUNK = "done_in_chunk";
+  private static final String LIVE = "live";
+  private static final String LAST_ATTEMPTS = "tried";
+
+  /** Bytes of an entry of {@link #LIVE} without its partition: [99999,99999,"",true], */
+  private static final int LIVE_ENTRY_BYTES = 22;
+
+  /** Bytes of an entry of {@link #LAST_ATTEMPTS}: [99999,99999], */
+  private static final int LAST_ATTEMPT_ENTRY_BYTES = 14;
+
+  /** Bytes of a partition's name after its zone. */
+  private static final int PARTITION_NUMBER_BYTES = 6;
+
+  /** Bytes of a value without entries: the names of its fields, and its completed tasks. */
+  private static final int FIXED_BYTES = 50 + base64Length(Constants.CHUNK_TASKS / Byte.SIZE);
+
+  /** Bytes of the field {@link #DONE} without its text: "done":"", */
+  private static final int DONE_FIELD_BYTES = 10;
+
+  private final int maxValueBytes;
+  private final int liveEntryBytes;
+
+  public ProgressCodec(Settings.StateLimits limits, List<String> zones) {
+    int longestZone = zones.stream().mapToInt(Utf8::encodedLength).max().orElse(0);
+    this.maxValueBytes = limits.maxValueBytes();
+    this.liveEntryBytes = LIVE_ENTRY_BYTES + longestZone + PARTITION_NUMBER_BYTES;
+  }
+
+  /** Encodes the progress of a chunk, in the form that all versions read if the value fits so. */
+  public ObjectNode encode(int chunk, Progress progress) {
+    ObjectNode node = Json.object();
+    ArrayNode live = node.putArray(LIVE);
+    progress.live.forEach((index, task) -> live.add(liveEntry(index, task)));
+    ArrayNode lastAttempts = node.putArray(LAST_ATTEMPTS);
+    progress.lastAttempts.forEach((index, a) -> lastAttempts.addArray().add(index).add(a));
+    byte[] done = progress.doneInChunk().toByteArray();
+    int bytesBefore = done.length == 0 ? 0 : Progress.firstIndex(chunk) / Byte.SIZE;
+    int doneLength = base64Length(bytesBefore + done.length);
+    if (Json.size(node) + DONE_FIELD_BYTES + doneLength <= maxValueBytes) {
+      byte[] doneInJob = new byte[bytesBefore + done.length];
+      System.arraycopy(done, 0, doneInJob, bytesBefore, done.length);
+      node.put(DONE, Base64.getEncoder().encodeToString(doneInJob));
+    } else {
+      node.put(DONE_IN_CHUNK, Base64.getEncoder().encodeToString(done));
+    }
+    return node;
+  }
+
+  private static ArrayNode liveEntry(int index, Progress.LiveTask task) {
+    ArrayNode entry = Json.array().add(index).add(task.attempt());
+    entry.add(task.partition().toString());
+    if (task.stopRequested()) {
+      entry.add(true);
+    }
+    return entry;
+  }
+
+  /**
+   * Decodes the progress of a chunk, in either form.
+   *
+   * @throws IllegalArgumentException if the value is malformed
+   */
+  public static Progress decode(int chunk, JsonNode node) {
+    Progress progress = new Progress(chunk);
+    int first = Progress.firstIndex(chunk);
+    BitSet done =
+        node.has(DONE_IN_CHUNK)
+            ? bits(node.path(DONE_IN_CHUNK))
+            : bits(node.path(DONE)).get(first, first + Constants.CHUNK_TASKS);
+    done.stream().forEach(i -> progress.complete(first + i));
+    for (JsonNode task : node.path(LIVE)) {
+      progress.live.put(
+          task.path(0).asInt(),
+          new Progress.LiveTask(
+              task.path(1).asInt(),
+              Partition.parse(task.path(2).asText()),
+              task.path(3).asBoolean()));
+    }
+    for (JsonNode task : node.path(LAST_ATTEMPTS)) {
+      progress.lastAttempts.put(task.path(0).asInt(), task.path(1).asInt());
+    }
+    return progress;
+  }
+
+  private static BitSet bits(JsonNode base64) {
+    return BitSet.valueOf(Base64.getDecoder().decode(base64.asText("")));
+  }
+
+  /**
+   * Whether the value has space for a grant of the task. A value has space for all granted tasks of
+   * its chunk to be live at once, with requests to stop them; so every later change of them fits as
+   * well, and a task that was returned to the queue can be granted again.
+   */
+  public boolean hasSpaceFor(Progress progress, int index) {
+    int live = progress.live.size() + 1;
+    int queued = progress.lastAttempts.size();
+    if (progress.lastAttempts.containsKey(index)) {
+      // A value that was written under a higher limit may have more queued tasks than fit as live.
+      int queuedBytes = (queued - 1) * LAST_ATTEMPT_ENTRY_BYTES;
+      return live == 1 || FIXED_BYTES + live * liveEntryBytes + queuedBytes <= maxValueBytes;
+    }
+    return live + queued == 1 || FIXED_BYTES + (live + queued) * liveEntryBytes <= maxValueBytes;
+  }
+
+  /** The most bytes that the value of a chunk may take. */
+  public int maxBytes(int chunk) {
+    int lists = FIXED_BYTES + Constants.CHUNK_TASKS * liveEntryBytes;
+    return Math.min(
+        maxValueBytes, lists + base64Length(Progress.firstIndex(chunk + 1) / Byte.SIZE));
+  }
+
+  private static int base64Length(int bytes) {
+    return (bytes + 2) / 3 * 4;
+  }
+}
--- a/src/main/java/org/baygw/control/store/StateCache.java
+++ b/src/main/java/org/baygw/control/store/StateCache.java
@@ -240,7 +240,7 @@
   public int doneCount(String job) {
     int count = 0;
     for (Entry<Progress> chunk : progress.getOrDefault(job, NO_CHUNKS).values()) {
-      count += chunk.value().done.cardinality();
+      count += chunk.value().doneCount();
     }
     return count;
   }
@@ -271,7 +271,7 @@
 
   /** Grant of the task, or null. */
   public Progress.LiveTask grant(TaskId task) {
-    Progress p = progress(task.job(), task.index() / Constants.CHUNK_TASKS);
+    Progress p = progress(task.job(), Progress.chunkOf(task.index()));
     return p == null ? null : p.live.get(task.index());
   }
 
@@ -430,7 +430,7 @@
 
   private void progressChanged(String key, String job, int chunk, JsonNode value, long stamp) {
     TreeMap<Integer, Entry<Progress>> chunks = progress.computeIfAbsent(job, k -> new TreeMap<>());
-    Progress next = value == null ? null : Records.progress(value);
+    Progress next = value == null ? null : ProgressCodec.decode(chunk, value);
     Entry<Progress> old = chunks.get(chunk);
     if (old != null) {
       old.value().live.forEach((i, l) -> grantRemoved(new TaskId(job, i), l));
@@ -441,7 +441,7 @@
       storedProgress.put(key, next);
       next = next.copy();
       for (PageEndedTasks ended : endedTasks.getOrDefault(job, Map.of()).values()) {
-        int from = chunk * Constants.CHUNK_TASKS;
+        int from = Progress.firstIndex(chunk);
         int to = from + Constants.CHUNK_TASKS;
         for (int i = ended.done().nextSetBit(from);
             i >= 0 && i < to;
@@ -532,8 +532,8 @@
   }
 
   private void taskDone(String job, int index) {
-    Progress chunk = progress(job, index / Constants.CHUNK_TASKS);
-    if (chunk != null && !chunk.done.get(index)) {
+    Progress chunk = progress(job, Progress.chunkOf(index));
+    if (chunk != null && !chunk.isDone(index)) {
       Progress.LiveTask grant = chunk.live.get(index);
       if (grant != null) {
         grantRemoved(new TaskId(job, index), grant);
@@ -543,7 +543,7 @@
   }
 
   private void taskRequeued(String job, int index, int attempt) {
-    Progress chunk = progress(job, index / Constants.CHUNK_TASKS);
+    Progress chunk = progress(job, Progress.chunkOf(index));
     if (chunk != null && chunk.isLive(index, attempt)) {
       grantRemoved(new TaskId(job, index), chunk.live.get(index));
       chunk.requeue(index);
--- a/src/main/java/org/baygw/control/workers/EndedTasks.java
+++ b/src/main/java/org/baygw/control/workers/EndedTasks.java
@@ -3,7 +3,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
-import org.baygw.control.Constants;
 import org.baygw.control.model.PartitionRecord;
 import org.baygw.control.model.Progress;
 import org.baygw.control.store.StateCache;
@@ -27,13 +26,13 @@
     removeMatching(
         page.completedByJob(),
         (job, index, attempt) -> {
-          Progress progress = cache.storedProgress(job, index / Constants.CHUNK_TASKS);
-          return progress == null || progress.done.get(index);
+          Progress progress = cache.storedProgress(job, Progress.chunkOf(index));
+          return progress == null || progress.isDone(index);
         });
     removeMatching(
         page.requeuedByJob(),
         (job, index, attempt) -> {
-          Progress progress = cache.storedProgress(job, index / Constants.CHUNK_TASKS);
+          Progress progress = cache.storedProgress(job, Progress.chunkOf(index));
           return progress == null || !progress.isLive(index, attempt);
         });
   }
--- a/src/main/java/org/baygw/control/workers/PartitionWriter.java
+++ b/src/main/java/org/baygw/control/workers/PartitionWriter.java
@@ -19,6 +19,7 @@
 import org.baygw.control.model.TaskId;
 import org.baygw.control.placement.MachineCapacity;
 import org.baygw.control.store.Keys;
+import org.baygw.control.store.ProgressCodec;
 import org.baygw.control.store.StateCache;
 import org.baygw.control.store.Store;
 import org.slf4j.Logger;
@@ -60,6 +61,7 @@
   private final BestFitPlacer placer;
   private final ConsolidationRound rounds;
   private final Context context;
+  private final ProgressCodec progressCodec;
   private final Set<String> dirty = new LinkedHashSet<>();
 
   /** Tasks that a write in flight adds to machines or removes from them. */
@@ -92,6 +94,7 @@
     this.placer = placer;
     this.rounds = rounds;
     this.context = context;
+    this.progressCodec = new ProgressCodec(settings.state(), settings.zones());
   }
 
   /** Marks a machine on which tasks may have ended or whose condition has changed. */
@@ -340,7 +343,7 @@
         || draft.writes() + MOVE_WRITES > settings.state().txnOps()) {
       return false;
     }
-    int chunk = task.index() / Constants.CHUNK_TASKS;
+    int chunk = Progress.chunkOf(task.index());
     String progressKey = Keys.progress(task.job(), chunk);
     Progress progress = cache.progress(task.job(), chunk).copy();
     progress.requeue(task.index());
@@ -348,7 +351,7 @@
     draft
         .txn
         .when(progressKey, cache.stamp(progressKey))
-        .put(progressKey, Records.progress(progress))
+        .put(progressKey, progressCodec.encode(chunk, progress))
         .when(
             Keys.drain(targetMachine.partition()),
             cache.stamp(Keys.drain(targetMachine.partition())))
--- a/src/test/java/org/baygw/control/sim/Scenario.java
+++ b/src/test/java/org/baygw/control/sim/Scenario.java
@@ -121,6 +121,7 @@
                     cluster.stateWriteRps = Double.parseDouble(v);
                     cluster.state.enforceRates();
                   }
+                  case "txn-ops" -> cluster.stateTxnOps = Integer.parseInt(v);
                   case "value-kb" -> cluster.stateValueKb = Double.parseDouble(v);
                   case "backlog" -> cluster.state.maxAnswerChanges = Integer.parseInt(v);
                   case "standby" -> cluster.features = STANDBY_FEATURES;
--- a/src/test/java/org/baygw/control/sim/ScenarioTest.java
+++ b/src/test/java/org/baygw/control/sim/ScenarioTest.java
@@ -13,11 +13,13 @@
 
 /**
  * Plays every file under scenarios/, or with {@code -Dscenario=TEXT} those whose names contain the
- * text.
+ * text. {@code -Dscenarios=known-red} plays those that are listed in KNOWN-RED.txt instead.
  */
 final class ScenarioTest {
+  private static final String DIRECTORY = "/" + System.getProperty("scenarios", "scenarios");
+
   static Stream<String> scenarios() throws IOException, URISyntaxException {
-    Path dir = Path.of(ScenarioTest.class.getResource("/scenarios").toURI());
+    Path dir = Path.of(ScenarioTest.class.getResource(DIRECTORY).toURI());
     try (Stream<Path> files = Files.walk(dir)) {
       List<String> names =
           files
@@ -31,7 +33,7 @@
   }
 
   private static String text(String name) throws IOException, URISyntaxException {
-    Path dir = Path.of(ScenarioTest.class.getResource("/scenarios").toURI());
+    Path dir = Path.of(ScenarioTest.class.getResource(DIRECTORY).toURI());
     return Files.readString(dir.resolve(name));
   }
 
