--- a/src/main/java/org/baygw/control/Constants.java
+++ b/src/main/java/org/baygw/control/Constants.java
@@ -273,6 +273,9 @@
   /** Time that a deferred write waits for tokens before it fails and its sender may try again. */
   public static final long DEFERRED_WRITE_WAIT_MS = 5_000;
 
+  /** Delay after a rejected write until its sender may try another: it seldom differs. */
+  public static final long REJECTED_WRITE_DELAY_MS = 2_000;
+
   /** Pause of the state service's token buckets after a 429 or 503. */
   public static final long RATE_LIMIT_BACKOFF_MS = 200;
 
--- a/src/main/java/org/baygw/control/admin/Admin.java
+++ b/src/main/java/org/baygw/control/admin/Admin.java
@@ -237,6 +237,11 @@
       metrics.counter("baygw.moves", "Moves planned", workers, w -> w.rounds().plannedMoves());
       metrics.histogram("baygw.launch.ms", "From acceptance to launch", workers.launchMs());
       metrics.histogram("baygw.write.ms", "Conditional writes, with their wait", store.writeMs());
+      metrics.counter(
+          "baygw.writes.rejected",
+          "Conditional writes rejected as malformed or too large",
+          store,
+          Store::rejectedWriteCount);
       if (standby != null) {
         standby.register(metrics);
       }
--- a/src/main/java/org/baygw/control/jobs/Jobs.java
+++ b/src/main/java/org/baygw/control/jobs/Jobs.java
@@ -151,7 +151,7 @@
           switch (outcome) {
             case OK -> out.answer(request, 201, statusBody(id, "pending", null));
             case CONFLICT -> poll(request, id);
-            case REFUSED ->
+            case REFUSED, REJECTED ->
                 retryLater(request, 429, "the state service accepts no more writes now");
             case UNKNOWN -> retryLater(request, 503, "the state service does not answer");
           }
--- a/src/main/java/org/baygw/control/store/Store.java
+++ b/src/main/java/org/baygw/control/store/Store.java
@@ -1,9 +1,12 @@
 package org.baygw.control.store;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Queue;
 import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
@@ -39,6 +42,8 @@
     CONFLICT,
     /** The write was certainly not carried out. */
     REFUSED,
+    /** The write is malformed or exceeds a limit; it would be rejected each time. */
+    REJECTED,
     /** No answer arrived: the write may be carried out now, later or never. */
     UNKNOWN
   }
@@ -62,6 +67,12 @@
   private long waitingSince;
   private List<Consumer<Boolean>> syncWaiters = new ArrayList<>();
 
+  /** The callback of a rejected write, which runs after a delay. */
+  private record RejectedWrite(long callbackAt, Runnable callback) {}
+
+  private final Queue<RejectedWrite> rejectedWrites = new ArrayDeque<>();
+  private long rejectedWriteCount;
+
   /** When an answer last brought the cache up to date. */
   private long lastUpdate = Long.MIN_VALUE / 2;
 
@@ -110,8 +121,16 @@
     return writeMs;
   }
 
+  /** Number of conditional writes that the state service rejected as malformed or too large. */
+  public long rejectedWriteCount() {
+    return rejectedWriteCount;
+  }
+
   public void tick() {
     long now = clock.now();
+    while (!rejectedWrites.isEmpty() && rejectedWrites.peek().callbackAt() <= now) {
+      rejectedWrites.poll().callback().run();
+    }
     if (!loaded || tooFarBehind()) {
       if (!loading && !watching && !syncing && now >= nextWatch) {
         loading = true;
@@ -187,10 +206,17 @@
       callback.accept(Outcome.CONFLICT);
     } else if (status == Outbox.NO_ANSWER) {
       callback.accept(Outcome.UNKNOWN);
+    } else if (status == 400) {
+      rejectedWriteCount++;
+      LOG.warn(
+          "the state service rejected a write of {} changes and about {} bytes, the largest value"
+              + " for {}: {}",
+          txn.writeCount(),
+          txn.bytes(),
+          txn.largestKey(),
+          new String(answer, StandardCharsets.UTF_8));
+      callback.accept(Outcome.REJECTED);
     } else {
-      if (status == 400) {
-        LOG.warn("the state service rejected a write as malformed: {}", new String(answer));
-      }
       callback.accept(Outcome.REFUSED);
     }
   }
@@ -198,8 +224,8 @@
   /**
    * Sends a conditional write until its outcome is certain; the callback gets whether it succeeded.
    * A write without an answer may still be carried out later, so its sender must not treat it as
-   * failed: it is sent again until it certainly succeeds or fails. After a conflict the cache is
-   * brought up to date before the callback runs.
+   * failed: it is sent again until it certainly succeeds or fails. After a conflict or a rejection
+   * the cache is brought up to date before the callback runs, after a rejection with a delay.
    */
   public void txnWithRetry(Urgency urgency, Txn txn, long waitMs, Consumer<Boolean> callback) {
     txnWithRetry(urgency, txn, waitMs, false, callback);
@@ -252,6 +278,12 @@
     switch (outcome) {
       case OK -> callback.accept(true);
       case CONFLICT -> runWhenCurrent(() -> callback.accept(false));
+      // The sender would build the same write again at once, and without end.
+      case REJECTED ->
+          rejectedWrites.add(
+              new RejectedWrite(
+                  clock.now() + Constants.REJECTED_WRITE_DELAY_MS,
+                  () -> runWhenCurrent(() -> callback.accept(false))));
       case REFUSED -> {
         if (mayBeApplied) {
           txnWithRetry(urgency, txn, waitMs, true, callback);
--- /dev/null
+++ b/src/test/java/org/baygw/control/store/StoreTest.java
@@ -0,0 +1,101 @@
+package org.baygw.control.store;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import org.baygw.control.Constants;
+import org.baygw.control.config.Settings;
+import org.baygw.control.core.Clock;
+import org.baygw.control.core.Json;
+import org.baygw.control.core.Outbox;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Conditional writes that the state service rejects. */
+final class StoreTest {
+  private static final String KEY = "b/prog/run-1/0";
+
+  private final Clock clock = new Clock();
+  private final Outbox out = new Outbox();
+  private final List<Boolean> outcomes = new ArrayList<>();
+  private Store store;
+  private int sentWrites;
+
+  @BeforeEach
+  void start() {
+    Settings settings =
+        new Settings(
+            "yurt-0",
+            "a",
+            new Settings.Endpoint("yurt-0", 8080),
+            new Settings.Endpoint("yurt-0", 8081),
+            List.of(),
+            "cloud",
+            "state",
+            List.of("a"),
+            100,
+            List.of(),
+            List.of(),
+            new Settings.WorkerTimes(2, 10, 35),
+            new Settings.StateLimits(1_000, 1_000, 8, 16),
+            new Settings.CloudLimits(10, 3),
+            new Settings.Resources(1, 1_000));
+    store = new Store(clock, out, settings, new StateCache());
+  }
+
+  /**
+   * Advances the time, and answers writes with the status and other requests with an empty copy.
+   */
+  private void runFor(long ms, int writeStatus) {
+    long end = clock.now() + ms;
+    while (clock.now() < end) {
+      clock.set(clock.now() + Constants.TICK_MS, 0);
+      store.tick();
+      for (Outbox.Effect effect : out.drain()) {
+        Outbox.Call call = (Outbox.Call) effect;
+        boolean write = call.path().equals("/txn");
+        sentWrites += write ? 1 : 0;
+        int status = write ? writeStatus : 200;
+        String body = "{\"ledgerRev\":1,\"entries\":[],\"events\":[],\"more\":false}";
+        call.callback().done(status, body.getBytes(StandardCharsets.UTF_8));
+      }
+    }
+  }
+
+  private void write() {
+    store.txnWithRetry(
+        Store.Urgency.GRANT,
+        new Txn().put(KEY, Json.object()),
+        Constants.STATE_TIMEOUT_MS,
+        ok -> {
+          outcomes.add(ok);
+          if (outcomes.size() < 100) {
+            write();
+          }
+        });
+  }
+
+  /** Guards against a sender that repeats a rejected write many times a second without end. */
+  @Test
+  void rejectedWriteIsRepeatedOnlyAfterADelay() {
+    write();
+    runFor(10 * Constants.REJECTED_WRITE_DELAY_MS, 400);
+    assertTrue(sentWrites >= 5 && sentWrites <= 11, sentWrites + " writes");
+    assertEquals(sentWrites, store.rejectedWriteCount());
+    assertTrue(outcomes.stream().noneMatch(ok -> ok), "a rejected write counted as successful");
+  }
+
+  /** A write whose first attempt got no answer is given up too once it is rejected. */
+  @Test
+  void rejectionEndsTheRetriesOfAnUnansweredWrite() {
+    write();
+    runFor(Constants.TICK_MS, Outbox.NO_ANSWER);
+    assertEquals(1, sentWrites);
+    runFor(2 * Constants.REJECTED_WRITE_DELAY_MS, 400);
+    assertTrue(!outcomes.isEmpty(), "the sender was not told");
+    assertTrue(sentWrites <= 4, sentWrites + " writes");
+  }
+}
