--- a/src/main/java/org/baygw/control/jobs/Jobs.java
+++ b/src/main/java/org/baygw/control/jobs/Jobs.java
@@ -31,6 +31,7 @@
   private static final Logger LOG = LoggerFactory.getLogger(Jobs.class);
 
   private static final String PATH = "/v1/jobs";
+  private static final String RECORD_TOO_LARGE = "the job's record exceeds the limit on values";
 
   private final Clock clock;
   private final Outbox out;
@@ -141,6 +142,10 @@
       return;
     }
     Job job = Job.accepted(spec, clock.wall());
+    if (!recordFits(job)) {
+      refuse(request, id, 422, RECORD_TOO_LARGE);
+      return;
+    }
     pendingSubmissions++;
     store.txn(
         Store.Urgency.SUBMIT,
@@ -151,13 +156,20 @@
           switch (outcome) {
             case OK -> out.answer(request, 201, statusBody(id, "pending", null));
             case CONFLICT -> poll(request, id);
-            case REFUSED, REJECTED ->
+            case REFUSED ->
                 retryLater(request, 429, "the state service accepts no more writes now");
+            case REJECTED -> error(request, 422, RECORD_TOO_LARGE);
             case UNKNOWN -> retryLater(request, 503, "the state service does not answer");
           }
         });
   }
 
+  /** Whether the job's record fits into a value of the state service, also once it is cancelled. */
+  private boolean recordFits(Job job) {
+    int bytes = Json.size(Records.job(job.cancelled(job.acceptedMs())));
+    return bytes <= settings.state().maxValueBytes();
+  }
+
   /**
    * Rejects a submission, after bringing the state cache up to date: a submission with the id of an
    * existing job is answered with that job's status instead.
--- a/src/test/java/org/baygw/control/sim/InputsTest.java
+++ b/src/test/java/org/baygw/control/sim/InputsTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.fasterxml.jackson.databind.JsonNode;
@@ -88,6 +89,16 @@
     assertTrue(body.path("error").asText().startsWith(errorPrefix), body.toString());
   }
 
+  /** Guards against a submission that is retried for ever since its record exceeds a value. */
+  @Test
+  void aJobWhoseRecordExceedsAValueIsRefused() {
+    String types = "'c16'" + ",'a-machine-type-that-does-not-exist'".repeat(300);
+    ask(8080, "POST", "/v1/jobs", JOB.replace("'builds':null", "'builds':[" + types + "]"));
+    assertEquals(422, status);
+    assertTrue(body.path("error").asText().contains("limit on values"), body.toString());
+    assertNull(cluster.state.firstLimitViolation);
+  }
+
   @Test
   void aKnownIdIsNeverRefused() {
     ask(8080, "POST", "/v1/jobs", JOB);
