--- a/src/main/java/org/baygw/control/store/ProgressCodec.java
+++ b/src/main/java/org/baygw/control/store/ProgressCodec.java
@@ -28,14 +28,20 @@
   private static final String LIVE = "live";
   private static final String LAST_ATTEMPTS = "tried";
 
-  /** Bytes of an entry of {@link #LIVE} without its partition: [99999,99999,"",true], */
-  private static final int LIVE_ENTRY_BYTES = 22;
+  /** Bytes of an entry of {@link #LIVE} without numbers and name: [,,"",true], */
+  private static final int LIVE_ENTRY_BYTES = 12;
 
-  /** Bytes of an entry of {@link #LAST_ATTEMPTS}: [99999,99999], */
-  private static final int LAST_ATTEMPT_ENTRY_BYTES = 14;
+  /** Bytes of an entry of {@link #LAST_ATTEMPTS} without numbers: [,], */
+  private static final int LAST_ATTEMPT_ENTRY_BYTES = 4;
 
-  /** Bytes of a partition's name after its zone. */
-  private static final int PARTITION_NUMBER_BYTES = 6;
+  /** Most bytes of a partition's name after its zone: a dot and a number. */
+  private static final int PARTITION_NUMBER_BYTES = 4;
+
+  /** Attempts of a task, without a new grant, for which its entry has space: moves. */
+  private static final int SPARE_ATTEMPTS = 9;
+
+  /** Most bytes of a task's index and attempt. */
+  private static final int MAX_NUMBERS_BYTES = 16;
 
   /** Bytes of a value without entries: the names of its fields, and its completed tasks. */
   private static final int FIXED_BYTES = 50 + base64Length(Constants.CHUNK_TASKS / Byte.SIZE);
@@ -46,10 +52,14 @@
   private final int maxValueBytes;
   private final int liveEntryBytes;
 
+  /** Bytes of the lists of a chunk if all its tasks are live, whatever their numbers. */
+  private final int maxListBytes;
+
   public ProgressCodec(Settings.StateLimits limits, List<String> zones) {
     int longestZone = zones.stream().mapToInt(Utf8::encodedLength).max().orElse(0);
     this.maxValueBytes = limits.maxValueBytes();
     this.liveEntryBytes = LIVE_ENTRY_BYTES + longestZone + PARTITION_NUMBER_BYTES;
+    this.maxListBytes = FIXED_BYTES + Constants.CHUNK_TASKS * (liveEntryBytes + MAX_NUMBERS_BYTES);
   }
 
   /** Encodes the progress of a chunk, in the form that all versions read if the value fits so. */
@@ -118,21 +128,47 @@
    * well, and a task that was returned to the queue can be granted again.
    */
   public boolean hasSpaceFor(Progress progress, int index) {
+    if (maxListBytes <= maxValueBytes) {
+      return true;
+    }
     int live = progress.live.size() + 1;
     int queued = progress.lastAttempts.size();
+    int numbersBytes = numbersBytes(progress, index);
+    int liveBytes = liveEntryBytes + numbersBytes;
     if (progress.lastAttempts.containsKey(index)) {
       // A value that was written under a higher limit may have more queued tasks than fit as live.
-      int queuedBytes = (queued - 1) * LAST_ATTEMPT_ENTRY_BYTES;
-      return live == 1 || FIXED_BYTES + live * liveEntryBytes + queuedBytes <= maxValueBytes;
+      int queuedBytes = (queued - 1) * (LAST_ATTEMPT_ENTRY_BYTES + numbersBytes);
+      return live == 1 || FIXED_BYTES + live * liveBytes + queuedBytes <= maxValueBytes;
+    }
+    return live + queued == 1 || FIXED_BYTES + (live + queued) * liveBytes <= maxValueBytes;
+  }
+
+  /** Most bytes of an index and an attempt in the chunk until the next grant. */
+  private static int numbersBytes(Progress progress, int index) {
+    int attempt = 1;
+    for (Progress.LiveTask task : progress.live.values()) {
+      attempt = Math.max(attempt, task.attempt());
+    }
+    for (int last : progress.lastAttempts.values()) {
+      attempt = Math.max(attempt, last + 1);
     }
-    return live + queued == 1 || FIXED_BYTES + (live + queued) * liveEntryBytes <= maxValueBytes;
+    int lastIndex = Progress.firstIndex(Progress.chunkOf(index) + 1) - 1;
+    return digits(lastIndex) + digits(attempt + SPARE_ATTEMPTS);
+  }
+
+  private static int digits(int number) {
+    return String.valueOf(number).length();
+  }
+
+  /** Whether the encoded value is within the limit on values. */
+  public boolean fits(ObjectNode value) {
+    return Json.size(value) <= maxValueBytes;
   }
 
   /** The most bytes that the value of a chunk may take. */
   public int maxBytes(int chunk) {
-    int lists = FIXED_BYTES + Constants.CHUNK_TASKS * liveEntryBytes;
     return Math.min(
-        maxValueBytes, lists + base64Length(Progress.firstIndex(chunk + 1) / Byte.SIZE));
+        maxValueBytes, maxListBytes + base64Length(Progress.firstIndex(chunk + 1) / Byte.SIZE));
   }
 
   private static int base64Length(int bytes) {
--- a/src/main/java/org/baygw/control/workers/PartitionWriter.java
+++ b/src/main/java/org/baygw/control/workers/PartitionWriter.java
@@ -362,10 +362,14 @@
     Progress progress = cache.progress(task.job(), chunk).copy();
     progress.requeue(task.index());
     int attempt = progress.grant(task.index(), targetMachine.partition());
+    ObjectNode progressValue = progressCodec.encode(chunk, progress);
+    if (!progressCodec.fits(progressValue)) {
+      return false;
+    }
     draft
         .txn
         .when(progressKey, cache.stamp(progressKey))
-        .put(progressKey, progressCodec.encode(chunk, progress))
+        .put(progressKey, progressValue)
         .when(
             Keys.drain(targetMachine.partition()),
             cache.stamp(Keys.drain(targetMachine.partition())))
