--- a/src/main/java/org/baygw/control/store/ProgressCodec.java
+++ b/src/main/java/org/baygw/control/store/ProgressCodec.java
@@ -28,10 +28,10 @@
   private static final String LIVE = "live";
   private static final String LAST_ATTEMPTS = "tried";
 
-  /** Bytes of an entry of {@link #LIVE} without numbers and name: [,,"",true], */
+  /** Bytes of an entry of {@link #LIVE}, [,,"",true], without its numbers and name. */
   private static final int LIVE_ENTRY_BYTES = 12;
 
-  /** Bytes of an entry of {@link #LAST_ATTEMPTS} without numbers: [,], */
+  /** Bytes of an entry of {@link #LAST_ATTEMPTS}, [,], without its numbers. */
   private static final int LAST_ATTEMPT_ENTRY_BYTES = 4;
 
   /** Most bytes of a partition's name after its zone: a dot and a number. */
@@ -46,7 +46,7 @@
   /** Bytes of a value without entries: the names of its fields, and its completed tasks. */
   private static final int FIXED_BYTES = 50 + base64Length(Constants.CHUNK_TASKS / Byte.SIZE);
 
-  /** Bytes of the field {@link #DONE} without its text: "done":"", */
+  /** Bytes of the field {@link #DONE}, "done":"", without its text. */
   private static final int DONE_FIELD_BYTES = 10;
 
   private final int maxValueBytes;
--- a/src/main/java/org/baygw/control/store/Txn.java
+++ b/src/main/java/org/baygw/control/store/Txn.java
@@ -23,7 +23,7 @@
   /** Most bytes that a condition or a change takes besides its key and value. */
   private static final int ENTRY_BYTES = 50;
 
-  /** Bytes of a request without conditions and changes: {"when":[],"then":[]} */
+  /** Bytes of a request without conditions and changes, {"when":[],"then":[]}. */
   private static final int FRAME_BYTES = 22;
 
   private final Map<String, Long> conditions = new LinkedHashMap<>();
--- a/src/main/java/org/baygw/control/workers/PartitionDraft.java
+++ b/src/main/java/org/baygw/control/workers/PartitionDraft.java
@@ -232,7 +232,7 @@
         && attempt.equals(tasks.get(new TaskId(task.job(), task.index() + 1)));
   }
 
-  /** Most bytes of a task in a list of indexes: 1234*2, */
+  /** Most bytes of a task in a list of indexes, such as 1234*2 with a comma. */
   private static int indexBytes(TaskId task, int attempt) {
     int bytes = String.valueOf(task.index()).length() + 1;
     return attempt == 1 ? bytes : bytes + 1 + String.valueOf(attempt).length();
