Log what allowed each order to a worker, and count refused and dropped messages

In the incident "a task ran on two machines at once" the controllers' logs named no start, stop or forget of the task, no token or session, and no claim stamp, so that the order of events had to be taken from the workers' side.

Each order is now logged at DEBUG with task, attempt, machine, reason, session, token, partition, claim, the revision that the state cache had reached, and whether it went with a response or in a direct call; each durable end with its proof (TerminationEvidence.End names it). A call that a worker refuses (409) is logged at INFO, at most once in ten seconds. "took" names the claim's stamp, which is the upper part of the tokens given under it. Seven counters are on the metrics page: orders by kind, refused and unanswered calls, outdated reports, reports with a newer token.

No behaviour changes.

--- a/src/main/java/org/baygw/control/admin/Admin.java
+++ b/src/main/java/org/baygw/control/admin/Admin.java
@@ -21,6 +21,7 @@
 import org.baygw.control.store.StateCache;
 import org.baygw.control.store.Store;
 import org.baygw.control.store.Txn;
+import org.baygw.control.workers.MessageCounters;
 import org.baygw.control.workers.Workers;
 
 /**
@@ -242,6 +243,7 @@
           "Conditional writes rejected as malformed or too large",
           store,
           Store::rejectedWriteCount);
+      registerMessageCounters(workers.messageCounters());
       if (standby != null) {
         standby.register(metrics);
       }
@@ -249,6 +251,34 @@
     out.answer(request, 200, metrics.scrape().getBytes(StandardCharsets.UTF_8));
   }
 
+  private void registerMessageCounters(MessageCounters counters) {
+    metrics.counter(
+        "baygw.orders.launch", "Launch orders sent", counters, MessageCounters::launches);
+    metrics.counter("baygw.orders.kill", "Kill orders sent", counters, MessageCounters::kills);
+    metrics.counter(
+        "baygw.orders.forget", "Forget orders sent", counters, MessageCounters::forgets);
+    metrics.counter(
+        "baygw.calls.refused",
+        "Direct calls that a worker refused (409)",
+        counters,
+        MessageCounters::refusedCalls);
+    metrics.counter(
+        "baygw.calls.unanswered",
+        "Direct calls without an answer",
+        counters,
+        MessageCounters::unansweredCalls);
+    metrics.counter(
+        "baygw.reports.outdated",
+        "Reports dropped as repeated or outdated",
+        counters,
+        MessageCounters::outdatedReports);
+    metrics.counter(
+        "baygw.reports.newer.token",
+        "Reports refused because they carry a newer token",
+        counters,
+        MessageCounters::newerTokenReports);
+  }
+
   private void error(long request, int status, String reason) {
     out.answer(request, status, Json.bytes(Json.object().put("error", reason)));
   }
--- a/src/main/java/org/baygw/control/membership/Membership.java
+++ b/src/main/java/org/baygw/control/membership/Membership.java
@@ -328,8 +328,10 @@
         outcome -> {
           claimWriteInFlight = false;
           nextClaimAt = clock.now() + (outcome == Store.Outcome.OK ? 0 : Constants.CLAIM_RETRY_MS);
-          if (outcome == Store.Outcome.OK) {
-            LOG.info("{} {}", txn == claimTxn ? "took" : "handed over", txn.keys());
+          if (outcome == Store.Outcome.OK && txn == claimTxn) {
+            LOG.info("took {} as claim {}", txn.keys(), cache.stamp(txn.keys().iterator().next()));
+          } else if (outcome == Store.Outcome.OK) {
+            LOG.info("handed over {}", txn.keys());
           }
         });
   }
--- a/src/main/java/org/baygw/control/workers/PartitionWriter.java
+++ b/src/main/java/org/baygw/control/workers/PartitionWriter.java
@@ -42,6 +42,9 @@
     /** The writer of a partition, or null if this controller does not own it. */
     PartitionWriter writer(Partition partition);
 
+    /** Called once the end of a task on a worker's machine is durable. */
+    void ended(WorkerSession worker, TaskId task, int attempt, TerminationEvidence.End end);
+
     /** Called once tasks have been durably placed on the machines. */
     void placed(Set<String> machines);
   }
@@ -287,7 +290,7 @@
       }
       tasksInWrite.add(task);
       if (cache.grant(task) != null && cache.grant(task).attempt() == attempt) {
-        if (end.getValue() == TerminationEvidence.End.DONE) {
+        if (end.getValue().completed()) {
           draft.addCompleted(draft.pageOf(name), task);
         } else if (gone || !moveTask(draft, worker, task)) {
           draft.addReturned(draft.pageOf(name), task, attempt);
@@ -295,7 +298,10 @@
       }
       rounds.dropMove(task);
       draft.onSuccess.add(
-          () -> placer.failures().taskEnded(partition, worker, task, end.getValue()));
+          () -> {
+            placer.failures().taskEnded(partition, worker, task, end.getValue());
+            context.ended(worker, task, attempt, end.getValue());
+          });
     }
     if (draft.tasksOn.containsKey(name)) {
       draft.tasksRemoved(name);
--- a/src/main/java/org/baygw/control/workers/TaskFailures.java
+++ b/src/main/java/org/baygw/control/workers/TaskFailures.java
@@ -53,7 +53,7 @@
   void taskEnded(
       Partition partition, WorkerSession worker, TaskId task, TerminationEvidence.End end) {
     WorkerCodec.ReportedTask reported = worker.reported.get(task);
-    if (end == TerminationEvidence.End.DONE) {
+    if (end.completed()) {
       if (!worker.failures.isEmpty()) {
         replication.taskCompleted(partition, worker.name);
       }
--- a/src/main/java/org/baygw/control/workers/TerminationEvidence.java
+++ b/src/main/java/org/baygw/control/workers/TerminationEvidence.java
@@ -15,10 +15,22 @@
  * machine's return to the cloud.
  */
 final class TerminationEvidence {
-  /** How a task left its machine. */
+  /** What proves that a task has left its machine. */
   enum End {
-    DONE,
-    NOT_DONE
+    /** A report says that the task completed. */
+    REPORTED_DONE,
+    /** A report says that the task ended otherwise. */
+    REPORTED_ENDED,
+    /** The newest report lacks the task, and no launch of it is pending. */
+    NOT_REPORTED,
+    /** The worker's session has ended with its lease. */
+    LEASE_EXPIRED,
+    /** The cloud has taken the machine back. */
+    MACHINE_RETURNED;
+
+    boolean completed() {
+      return this == REPORTED_DONE;
+    }
   }
 
   private final Clock clock;
@@ -72,14 +84,14 @@
   /** How a recorded task left the machine; null if that is not proved. */
   End endOf(WorkerSession worker, Machine machine, TaskId task, int attempt) {
     if (cache.drains.get(machine.name()) == StateCache.Drain.GONE) {
-      return End.NOT_DONE; // the cloud has taken the machine back with all its tasks
+      return End.MACHINE_RETURNED;
     }
     WorkerCodec.ReportedTask reported = worker.reported.get(task);
     if (reported != null && reported.attempt() == attempt) {
       if (reported.state() != WorkerCodec.State.ENDED) {
         return null;
       }
-      return reported.cause() == WorkerCodec.Cause.DONE ? End.DONE : End.NOT_DONE;
+      return reported.cause() == WorkerCodec.Cause.DONE ? End.REPORTED_DONE : End.REPORTED_ENDED;
     }
     boolean absent =
         worker.claimConfirmed()
@@ -88,12 +100,10 @@
     // A hung machine keeps its tasks after its lease has expired. A task of a cancelled job
     // therefore stays on record until its worker is heard from or the machine is returned:
     // otherwise the next owner would not know of it.
-    return absent
-            && (worker.leaseExpired
-                ? !cache.isCancelled(task.job())
-                : !shouldRun(task, attempt, machine))
-        ? End.NOT_DONE
-        : null;
+    if (absent && worker.leaseExpired) {
+      return cache.isCancelled(task.job()) ? null : End.LEASE_EXPIRED;
+    }
+    return absent && !shouldRun(task, attempt, machine) ? End.NOT_REPORTED : null;
   }
 
   /** Whether the task should keep running on the machine under this attempt. */
--- a/src/main/java/org/baygw/control/workers/WorkerCodec.java
+++ b/src/main/java/org/baygw/control/workers/WorkerCodec.java
@@ -50,8 +50,25 @@
     FORGET
   }
 
-  /** An order to a worker; graceS is the time in seconds that a killed task has to save. */
-  record Order(Verb verb, TaskId task, int attempt, double graceS) {}
+  /**
+   * An order to a worker.
+   *
+   * @param graceS time in seconds that a killed task has to save
+   * @param reason what allowed the order; it is logged, not sent
+   */
+  record Order(Verb verb, TaskId task, int attempt, double graceS, OrderReason reason) {
+    static Order launch(TaskId task, int attempt) {
+      return new Order(Verb.LAUNCH, task, attempt, 0, OrderReason.ON_RECORD);
+    }
+
+    static Order kill(TaskId task, int attempt, double graceS, OrderReason reason) {
+      return new Order(Verb.KILL, task, attempt, graceS, reason);
+    }
+
+    static Order forget(TaskId task, int attempt) {
+      return new Order(Verb.FORGET, task, attempt, 0, OrderReason.END_RECORDED);
+    }
+  }
 
   /** Returns null if the body is not a valid report. */
   static Report decode(JsonNode json) {
--- a/src/main/java/org/baygw/control/workers/WorkerCommands.java
+++ b/src/main/java/org/baygw/control/workers/WorkerCommands.java
@@ -36,6 +36,7 @@
   private final ConsolidationRound rounds;
   private final CancellationWatermark watermark;
   private final Replication replication;
+  private final OrderLog orderLog;
   private final ReportHandler reportHandler;
   private long stalledAt;
 
@@ -55,7 +56,9 @@
       ConsolidationRound rounds,
       CancellationWatermark watermark,
       Replication replication,
+      OrderLog orderLog,
       ReportHandler reportHandler) {
+    this.orderLog = orderLog;
     this.replication = replication;
     this.clock = clock;
     this.out = out;
@@ -170,6 +173,7 @@
         recordLaunch(worker, order.task());
       }
     }
+    orderLog.sentInResponse(worker, tick, orders);
     return orders;
   }
 
@@ -205,21 +209,19 @@
           // until it has forgotten this attempt.
           boolean forgetNow = reported.cause() != WorkerCodec.Cause.DONE;
           (forgetNow ? orders : completed)
-              .add(
-                  new WorkerCodec.Order(
-                      WorkerCodec.Verb.FORGET, entry.getKey(), reported.attempt(), 0));
+              .add(WorkerCodec.Order.forget(entry.getKey(), reported.attempt()));
         }
         continue;
       }
-      Double graceS = stopGraceS(worker, entry.getKey(), reported, machine, onRecord, writer);
+      WorkerCodec.Order kill =
+          killOrder(worker, entry.getKey(), reported, machine, onRecord, writer);
       Long lastKill = worker.killSentAt.get(entry.getKey());
-      if (graceS != null
+      if (kill != null
           && (lastKill == null
-              || clock.now() - lastKill > settings.workers().reportS() * 1000 && graceS == 0)) {
+              || clock.now() - lastKill > settings.workers().reportS() * 1000
+                  && kill.graceS() == 0)) {
         worker.killSentAt.put(entry.getKey(), clock.now());
-        orders.add(
-            new WorkerCodec.Order(
-                WorkerCodec.Verb.KILL, entry.getKey(), reported.attempt(), graceS));
+        orders.add(kill);
       }
     }
     if (completed.size() >= Constants.FORGET_BATCH_TASKS) {
@@ -246,34 +248,55 @@
       if (launchable
           && !writer.inWrite(entry.getKey())
           && evidence.shouldRun(entry.getKey(), entry.getValue(), machine)) {
-        orders.add(
-            new WorkerCodec.Order(WorkerCodec.Verb.LAUNCH, entry.getKey(), entry.getValue(), 0));
+        orders.add(WorkerCodec.Order.launch(entry.getKey(), entry.getValue()));
       }
     }
     return orders;
   }
 
-  /** Seconds that a task gets to save if it is to be stopped; null if it should keep running. */
-  private Double stopGraceS(
+  /** The order to stop a reported task; null if it should keep running. */
+  private WorkerCodec.Order killOrder(
       WorkerSession worker,
       TaskId task,
       WorkerCodec.ReportedTask reported,
       Machine machine,
       boolean onRecord,
       PartitionWriter writer) {
-    StateCache.Entry<Job> jobEntry = cache.jobs.get(task.job());
+    int attempt = reported.attempt();
     boolean runs = cache.shouldRun(task.job());
-    if (!onRecord || !runs) {
-      return writer.inWrite(task) && runs ? null : Double.valueOf(0);
+    if (!runs) {
+      return WorkerCodec.Order.kill(task, attempt, 0, OrderReason.JOB_ENDED);
+    }
+    if (!onRecord) {
+      return writer.inWrite(task)
+          ? null
+          : WorkerCodec.Order.kill(task, attempt, 0, OrderReason.NOT_ON_RECORD);
     }
-    JobSpec spec = jobEntry.value().spec();
-    if (!evidence.shouldRun(task, reported.attempt(), machine)) {
-      return spec.checkpoints() ? spec.graceS() : 0;
+    JobSpec spec = cache.jobs.get(task.job()).value().spec();
+    double saveS = spec.checkpoints() ? spec.graceS() : 0;
+    if (!evidence.shouldRun(task, attempt, machine)) {
+      return WorkerCodec.Order.kill(task, attempt, saveS, OrderReason.GRANT_WITHDRAWN);
     }
     if (reported.state() == WorkerCodec.State.RUNNING
         && rounds.target(task, machine.name()) != null) {
-      return spec.checkpoints() ? spec.graceS() : 0;
+      return WorkerCodec.Order.kill(task, attempt, saveS, OrderReason.MOVED);
     }
+    Double leavingGraceS = graceOnLeavingMachineS(worker, task, reported, machine, spec);
+    return leavingGraceS == null
+        ? null
+        : WorkerCodec.Order.kill(task, attempt, leavingGraceS, OrderReason.MACHINE_LEAVING);
+  }
+
+  /**
+   * Seconds that a task gets to save if it is to be stopped because its machine is drained or taken
+   * soon; null if it should keep running.
+   */
+  private Double graceOnLeavingMachineS(
+      WorkerSession worker,
+      TaskId task,
+      WorkerCodec.ReportedTask reported,
+      Machine machine,
+      JobSpec spec) {
     if (cache.cordons.contains(machine.name()) && spec.service()) {
       return 0.0; // drained by an operator: replicas move at once, other tasks may finish
     }
@@ -308,12 +331,20 @@
       }
     }
     worker.directCallInFlight = true;
+    orderLog.sentDirectly(worker, session, orders);
     out.sendOrders(
         worker.addr,
         "/orders",
         Json.bytes(WorkerCodec.directOrders(token, session, orders)),
         Constants.ORDERS_TIMEOUT_MS,
-        (status, body) -> directAnswered(worker, launches, status, body));
+        (status, body) -> {
+          if (status == 409) {
+            orderLog.refused(worker, token, session);
+          } else if (status == Outbox.NO_ANSWER) {
+            orderLog.unanswered(worker, token, session);
+          }
+          directAnswered(worker, launches, status, body);
+        });
   }
 
   private void directAnswered(
--- a/src/main/java/org/baygw/control/workers/Workers.java
+++ b/src/main/java/org/baygw/control/workers/Workers.java
@@ -56,6 +56,7 @@
   private final ConsolidationRound rounds = new ConsolidationRound();
   private final TerminationEvidence evidence;
   private final BestFitPlacer placer;
+  private final OrderLog orderLog;
   private final WorkerCommands commands;
   private final WorkerReachability reachability;
   private final CancellationDeadline deadline;
@@ -91,6 +92,7 @@
         new CancellationDeadline(
             clock, settings, cache, membership, evidence, cloud, watermark, this::ownedSession);
     this.placer = new BestFitPlacer(clock, settings, cache, sessions, rounds, replication);
+    this.orderLog = new OrderLog(clock, cache);
     this.commands =
         new WorkerCommands(
             clock,
@@ -102,6 +104,7 @@
             rounds,
             watermark,
             replication,
+            orderLog,
             this::acceptPolledReport);
   }
 
@@ -149,6 +152,7 @@
     if (!worker.newer(report.session(), report.tick())
         || cache.drains.get(report.machine()) == StateCache.Drain.GONE
         || goneMachines.contains(report.machine())) {
+      orderLog.outdated(worker, report);
       out.answer(
           request,
           503,
@@ -304,6 +308,11 @@
     return rounds;
   }
 
+  /** Counts of messages to and from workers. */
+  public MessageCounters messageCounters() {
+    return orderLog.counters();
+  }
+
   /** Time in ms from a job's acceptance to the first launch of each of its tasks on a machine. */
   public Histogram launchMs() {
     return commands.launchMs();
@@ -464,6 +473,11 @@
       return ownedClaim == 0 ? null : Workers.this.writer(partition, ownedClaim);
     }
 
+    @Override
+    public void ended(WorkerSession worker, TaskId task, int attempt, TerminationEvidence.End end) {
+      orderLog.ended(worker, task, attempt, end);
+    }
+
     @Override
     public void placed(Set<String> machines) {
       machines.forEach(m -> checkMachine(m, true));
@@ -471,6 +485,7 @@
   }
 
   private void onNewerToken(Partition partition, WorkerSession worker, WorkerCodec.Report report) {
+    orderLog.newerToken(worker, report);
     if (report.token() >> Constants.TOKEN_BITS > worker.claim) {
       membership.claimSuperseded(partition, worker.claim);
     }
