Simulate repeats of carried-out requests; reproduce the task on two machines

The simulated worker keeps each attempt until it is told to forget it, as the protocol says; before, a new attempt of a task replaced the ended one.

--- a/src/test/java/org/baygw/control/sim/RandomFaultTest.java
+++ b/src/test/java/org/baygw/control/sim/RandomFaultTest.java
@@ -224,6 +224,36 @@
     }
   }
 
+  /**
+   * Overlapping faults and freezes, with warm standby for even seeds, while requests that were
+   * carried out and answered arrive once more and controllers restart within a second.
+   */
+  static String repeatedRequests(long seed) {
+    Random random = new Random(seed);
+    StringBuilder lines = new StringBuilder();
+    String[] receivers = {"workers", "state", "cloud", "controllers", "all", "all"};
+    for (int i = 0; i < 4; i++) {
+      double at = 1 + i * 28 + random.nextDouble() * 5;
+      String receiver = receivers[random.nextInt(receivers.length)];
+      double share = random.nextBoolean() ? 1 : 0.2 + random.nextDouble() * 0.5;
+      double span = 10 + random.nextDouble() * 18;
+      lines.append(
+          String.format(
+              Locale.ROOT, "at %.2f repeat %s share %.2f for %.2f%n", at, receiver, share, span));
+    }
+    for (int i = 0; i < 6; i++) {
+      double at = 5 + random.nextDouble() * 105;
+      lines.append(
+          String.format(
+              Locale.ROOT,
+              "at %.2f crash %s for %.2f%n",
+              at,
+              CONTROLLERS[random.nextInt(3)],
+              0.1 + random.nextDouble() * 0.8));
+    }
+    return (seed % 2 == 0 ? faultsWithStandby(seed) : overlappingFaultsWithFreezes(seed)) + lines;
+  }
+
   /** Seeds that once broke a rule; docs/SAFETY.md describes the fault behind each. */
   @ParameterizedTest
   @ValueSource(longs = {272, 547, 569, 661, 687, 756})
--- a/src/test/java/org/baygw/control/sim/Scenario.java
+++ b/src/test/java/org/baygw/control/sim/Scenario.java
@@ -172,12 +172,16 @@
 
   private void schedule(String[] words) {
     // A duplicate that is delivered late is a fault until its delivery.
+    long lateMs = ScenarioWords.millis(ScenarioWords.wordAfter(words, "late", "0"));
+    if (words[2].equals("repeat") && lateMs == 0) {
+      lateMs = RepeatedRequests.MAX_DELAY_MS;
+    }
     faultsEndAt =
         Math.max(
             faultsEndAt,
             ScenarioWords.millis(words[1])
                 + ScenarioWords.millis(ScenarioWords.wordAfter(words, "for", "0"))
-                + ScenarioWords.millis(ScenarioWords.wordAfter(words, "late", "0")));
+                + lateMs);
     cluster.after(ScenarioWords.millis(words[1]), () -> actions.act(words));
   }
 
--- a/src/test/java/org/baygw/control/sim/ScenarioActions.java
+++ b/src/test/java/org/baygw/control/sim/ScenarioActions.java
@@ -150,22 +150,21 @@
     long forMs = ScenarioWords.millis(ScenarioWords.wordAfter(words, "for", "0"));
     switch (words[2]) {
       case "cut" -> {
-        SimulatedCluster.Cut kind =
-            SimulatedCluster.Cut.valueOf(words[5].toUpperCase().replace('-', '_'));
+        NetworkCuts.Kind kind = NetworkCuts.Kind.valueOf(words[5].toUpperCase().replace('-', '_'));
         for (String from : hostsNamed(words[3])) {
           for (String to : hostsNamed(words[4])) {
-            cluster.cut(from, to, kind, forMs);
+            cluster.cuts.begin(from, to, kind, forMs);
           }
         }
       }
       case "apart" -> {
         // Isolates a controller from the state service and its peers, not from workers and users.
         for (String other : hostsNamed("controllers")) {
-          cluster.cut(words[3], other, SimulatedCluster.Cut.DROP, forMs);
-          cluster.cut(other, words[3], SimulatedCluster.Cut.DROP, forMs);
+          cluster.cuts.begin(words[3], other, NetworkCuts.Kind.DROP, forMs);
+          cluster.cuts.begin(other, words[3], NetworkCuts.Kind.DROP, forMs);
         }
-        cluster.cut(words[3], "state", SimulatedCluster.Cut.HOLD, forMs);
-        cluster.cut("state", words[3], SimulatedCluster.Cut.DROP, forMs);
+        cluster.cuts.begin(words[3], "state", NetworkCuts.Kind.HOLD, forMs);
+        cluster.cuts.begin("state", words[3], NetworkCuts.Kind.DROP, forMs);
       }
       case "mute" -> hostsNamed(words[3]).forEach(host -> cluster.mute(host, forMs));
       case "late-writes" ->
@@ -176,8 +175,8 @@
         for (WorkerStub worker : cluster.workers.values()) {
           for (SimulatedCluster.Node node : cluster.nodes.values()) {
             if (worker.zone.equals(words[3]) && !node.zone.equals(words[3])) {
-              cluster.cut(worker.name, node.label, SimulatedCluster.Cut.DROP, forMs);
-              cluster.cut(node.label, worker.name, SimulatedCluster.Cut.DROP, forMs);
+              cluster.cuts.begin(worker.name, node.label, NetworkCuts.Kind.DROP, forMs);
+              cluster.cuts.begin(node.label, worker.name, NetworkCuts.Kind.DROP, forMs);
             }
           }
         }
@@ -188,6 +187,7 @@
               host, ScenarioWords.millis(ScenarioWords.wordAfter(words, "late", "0")), forMs);
         }
       }
+      case "repeat" -> repeatRequests(words, forMs);
       case "state-outage" ->
           cluster.state.outage(ScenarioWords.wordAfter(words, "only", null), forMs);
       case "cloud-outage" -> cluster.cloud.outage(forMs);
@@ -196,6 +196,17 @@
     }
   }
 
+  /** Lets requests to the receivers that the line names arrive once more. */
+  private void repeatRequests(String[] words, long forMs) {
+    double share = Double.parseDouble(ScenarioWords.wordAfter(words, "share", "1"));
+    long delayMs = ScenarioWords.millis(ScenarioWords.wordAfter(words, "late", "0"));
+    for (RepeatedRequests.Receiver receiver : RepeatedRequests.Receiver.values()) {
+      if (words[3].equals("all") || words[3].equalsIgnoreCase(receiver.name())) {
+        cluster.repeatedRequests.begin(receiver, share, delayMs, forMs);
+      }
+    }
+  }
+
   /** Executes an action on machines. */
   private void actOnMachines(String[] words) {
     long forMs = ScenarioWords.millis(ScenarioWords.wordAfter(words, "for", "0"));
--- a/src/test/java/org/baygw/control/sim/ScenarioExpectations.java
+++ b/src/test/java/org/baygw/control/sim/ScenarioExpectations.java
@@ -173,6 +173,13 @@
           failures.add(cluster.cloud.rentals + " rentals");
         }
       }
+      case "repeats-at-least" -> {
+        int repeats =
+            cluster.repeatedRequests.repeats.values().stream().mapToInt(count -> count).sum();
+        if (repeats < Integer.parseInt(words[2])) {
+          failures.add("only " + repeats + " requests arrived once more");
+        }
+      }
       case "machines-at-most" -> {
         if (cluster.cloud.size() > Integer.parseInt(words[2])) {
           failures.add(cluster.cloud.size() + " machines");
--- a/src/test/java/org/baygw/control/sim/SimulatedCluster.java
+++ b/src/test/java/org/baygw/control/sim/SimulatedCluster.java
@@ -39,21 +39,6 @@
 
   private record Event(long at, long order, Runnable action) {}
 
-  /**
-   * A fault of the messages from one host to another. The kinds differ in what happens to requests;
-   * answers sent in this direction are always lost.
-   */
-  enum Cut {
-    /** Requests are lost. */
-    DROP,
-    /** Requests are held back and delivered when the cut ends. */
-    HOLD,
-    /** Requests arrive, but the answers to them are lost. */
-    LOSE_ANSWERS
-  }
-
-  private record ActiveCut(Cut kind, long untilMs) {}
-
   final Random random;
   final List<String> zones;
   final WorkMeter work = new WorkMeter();
@@ -61,11 +46,12 @@
   final FailoverProbe probe = new FailoverProbe(this);
   final StateServiceStub state = new StateServiceStub(this);
   final CloudStub cloud = new CloudStub(this);
+  final RepeatedRequests repeatedRequests = new RepeatedRequests(this);
   final Map<String, WorkerStub> workers = new TreeMap<>();
   final List<String> labels = new ArrayList<>();
   final Map<String, Node> nodes = new TreeMap<>();
   final List<Settings.Team> teams;
-  private final Map<String, ActiveCut> cuts = new HashMap<>();
+  final NetworkCuts cuts = new NetworkCuts(this);
 
   /**
    * By worker whose reports are delivered twice: delay of the second delivery (0 for a random one)
@@ -449,10 +435,6 @@
     now = untilMs;
   }
 
-  void cut(String from, String to, Cut kind, long forMs) {
-    cuts.put(from + ">" + to, new ActiveCut(kind, now + forMs));
-  }
-
   void duplicateReports(String from, long delayMs, long forMs) {
     duplicateReports.put(from, new long[] {delayMs, now + forMs});
   }
@@ -461,11 +443,6 @@
     mutedUntil.put(worker, now + forMs);
   }
 
-  private ActiveCut cutOf(String from, String to) {
-    ActiveCut activeCut = cuts.get(from + ">" + to);
-    return activeCut == null || activeCut.untilMs() <= now ? null : activeCut;
-  }
-
   private static String host(String addr) {
     if (addr.equals(STATE)) {
       return "state";
@@ -511,12 +488,12 @@
           duplicateDelay,
           () -> deliver(from, to, false, method, path, body, (status, answer) -> {}));
     }
-    ActiveCut requestCut = cutOf(from, to);
-    if (requestCut != null && requestCut.kind() == Cut.DROP) {
+    NetworkCuts.Active requestCut = cuts.active(from, to);
+    if (requestCut != null && requestCut.kind() == NetworkCuts.Kind.DROP) {
       return;
     }
     long delay =
-        requestCut != null && requestCut.kind() == Cut.HOLD
+        requestCut != null && requestCut.kind() == NetworkCuts.Kind.HOLD
             ? requestCut.untilMs() - now + latency()
             : latency();
     after(
@@ -530,10 +507,11 @@
                 path,
                 body,
                 (status, answer) -> {
-                  ActiveCut answerCut = cutOf(to, from);
+                  NetworkCuts.Active answerCut = cuts.active(to, from);
                   boolean lost =
                       answerCut != null
-                          || requestCut != null && requestCut.kind() == Cut.LOSE_ANSWERS;
+                          || requestCut != null
+                              && requestCut.kind() == NetworkCuts.Kind.LOSE_ANSWERS;
                   if (!lost) {
                     after(latency(), () -> completeOnce.done(status, answer));
                   }
@@ -548,6 +526,24 @@
       String path,
       byte[] body,
       StateServiceStub.ResponseCallback respond) {
+    StateServiceStub.ResponseCallback repeating =
+        repeatedRequests.repeating(
+            from,
+            to,
+            method,
+            respond,
+            () -> carryOut(from, to, peer, method, path, body, (status, answer) -> {}));
+    carryOut(from, to, peer, method, path, body, repeating);
+  }
+
+  private void carryOut(
+      String from,
+      String to,
+      boolean peer,
+      String method,
+      String path,
+      byte[] body,
+      StateServiceStub.ResponseCallback respond) {
     JsonNode request = peer || body == null || body.length == 0 ? Json.object() : Json.parse(body);
     if (to.equals("state")) {
       state.handle(from, method, path, request, respond);
--- a/src/test/java/org/baygw/control/sim/WorkerStub.java
+++ b/src/test/java/org/baygw/control/sim/WorkerStub.java
@@ -36,7 +36,10 @@
   final String name;
   final String zone;
   final boolean spot;
+
+  /** All attempts at tasks that the worker has not forgotten, by task and attempt. */
   private final Map<String, Attempt> attempts = new LinkedHashMap<>();
+
   private final Set<String> images = new HashSet<>();
   private long session = 1;
   private long tick;
@@ -93,10 +96,6 @@
     return free;
   }
 
-  Map<String, Attempt> attempts() {
-    return attempts;
-  }
-
   private void runPeriodically() {
     if (dead) {
       return;
@@ -240,28 +239,34 @@
     }
   }
 
+  private static String key(String task, int number) {
+    return task + "@" + number;
+  }
+
+  private boolean isOnMachine(String task) {
+    return attempts.values().stream()
+        .anyMatch(attempt -> attempt.task.equals(task) && attempt.cause == null);
+  }
+
   private void execute(JsonNode orders) {
     for (JsonNode order : orders) {
       String task = order.path("chore").asText();
       int number = order.path("try").asInt();
-      Attempt existing = attempts.get(task);
+      Attempt existing = attempts.get(key(task, number));
       switch (order.path("verb").asText()) {
         case "launch" -> {
           if (existing == null) {
             launch(task, number);
-          } else if (existing.number != number && existing.cause != null) {
-            attempts.remove(task);
-            launch(task, number);
           }
         }
         case "kill" -> {
-          if (existing != null && existing.number == number && existing.cause == null) {
+          if (existing != null && existing.cause == null) {
             kill(existing, order.path("windDownS").asDouble());
           }
         }
         case "forget" -> {
-          if (existing != null && existing.number == number && existing.cause != null) {
-            attempts.remove(task);
+          if (existing != null && existing.cause != null) {
+            attempts.remove(key(task, number));
           }
         }
         default -> throw new IllegalStateException("unknown order: " + order);
@@ -276,9 +281,14 @@
   }
 
   private void launch(String task, int number) {
+    boolean busy = isOnMachine(task);
     Attempt attempt = new Attempt(task, number);
-    attempts.put(task, attempt);
+    attempts.put(key(task, number), attempt);
     changed = true;
+    if (busy) {
+      end(attempt, "busy");
+      return;
+    }
     InvariantChecker.Submitted job = cluster.checker.job(task);
     if (job == null) {
       end(attempt, "no_such");
