Refuse repeats of direct launches whose attempts were forgotten

Cause: a right that never lapsed. A direct call takes effect whenever it arrives with the worker's token and session. It was taken for resolved once answered, but it may be carried out once more, late, also after its sender has restarted. While the worker knows the attempt a repeat has no effect; "forget" removed that knowledge under the very token that the launch had.

Evidence: the worker carried out the call of 64.76 again at 68.07, 1.4 s after "forget", with token still its highest; the new claim of the restarted yurt-2 reached it only at 69.20, and attempt 3 had been started under a claim unchanged since before. So neither a lapsed claim nor a stale cache.

Fix: a response that makes a worker forget an attempt carries a higher token than the attempt's direct launch had. The worker takes token and order together or drops both, so it never has forgotten an attempt while it would accept its launch; claims of other controllers, sessions and unanswered calls were fenced already. The token is raised only if a forgotten attempt was launched with the present one. While a direct call is in flight the attempt is kept until the next report, so that no call, and no stop in it, is refused on this account. Raises end below the next claim's tokens (they were OR-ed into the claim without a bound); launches under the last token go in responses only.

--- a/src/main/java/org/baygw/control/workers/WorkerCommands.java
+++ b/src/main/java/org/baygw/control/workers/WorkerCommands.java
@@ -167,6 +167,7 @@
   List<WorkerCodec.Order> ordersForReport(
       WorkerSession worker, Machine machine, PartitionWriter writer, long tick) {
     List<WorkerCodec.Order> orders = dueOrders(worker, machine, writer, true);
+    worker.fenceForgottenLaunches(orders);
     for (WorkerCodec.Order order : orders) {
       if (order.verb() == WorkerCodec.Verb.LAUNCH) {
         worker.pendingLaunch(order.task()).reportTick = tick;
@@ -243,7 +244,8 @@
       }
       WorkerSession.PendingLaunch launch = worker.pendingLaunches.get(entry.getKey());
       boolean launchable =
-          launch == null || inResponse && launch.reportTick == 0 && !worker.directCallInFlight;
+          launch == null && (inResponse || worker.canRaiseToken())
+              || inResponse && launch.reportTick == 0 && !worker.directCallInFlight;
       // A task that a write in flight removes from the machine must not be launched there again.
       if (launchable
           && !writer.inWrite(entry.getKey())
@@ -326,7 +328,7 @@
     List<TaskId> launches = new ArrayList<>();
     for (WorkerCodec.Order order : orders) {
       if (order.verb() == WorkerCodec.Verb.LAUNCH) {
-        worker.pendingLaunch(order.task()).directToken = token;
+        worker.directLaunchSent(order.task());
         launches.add(order.task());
       }
     }
@@ -367,7 +369,7 @@
       }
     } else {
       // The worker may carry out the call minutes later, unless it has seen a higher token by then.
-      worker.tokenIncrements++;
+      worker.raiseToken();
     }
     if (status == 200 || status == 409) {
       reportHandler.handle(worker, body);
--- a/src/main/java/org/baygw/control/workers/WorkerSession.java
+++ b/src/main/java/org/baygw/control/workers/WorkerSession.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import org.baygw.control.Constants;
 import org.baygw.control.model.Machine;
@@ -22,10 +23,15 @@
     }
   }
 
+  static final int MAX_TOKEN_INCREMENTS = (1 << Constants.TOKEN_BITS) - 1;
+
   final String name;
   final long claim;
   final long createdAt;
-  int tokenIncrements;
+
+  /** Number of times that the token was raised within the claim. */
+  private int tokenIncrements;
+
   String addr = "";
   long session;
 
@@ -49,6 +55,9 @@
   Map<TaskId, WorkerCodec.ReportedTask> reported = new LinkedHashMap<>();
   final Map<TaskId, PendingLaunch> pendingLaunches = new HashMap<>();
 
+  /** The token of the latest direct launch of each task that the worker may not have forgotten. */
+  private final Map<TaskId, Long> directLaunchTokens = new HashMap<>();
+
   /**
    * Launch times of tasks on the machine, in ms of this controller's clock; tasks without one have
    * no known age.
@@ -103,6 +112,54 @@
     return claim << Constants.TOKEN_BITS | tokenIncrements;
   }
 
+  /**
+   * Raises the token: once the worker has seen it, the worker refuses all calls that were sent
+   * before, whether they arrive late or once more.
+   */
+  void raiseToken() {
+    tokenIncrements = Math.min(tokenIncrements + 1, MAX_TOKEN_INCREMENTS);
+  }
+
+  /** Whether the token can be raised further, as every direct launch may require. */
+  boolean canRaiseToken() {
+    return tokenIncrements < MAX_TOKEN_INCREMENTS;
+  }
+
+  /** Records a direct launch that is sent with the present token. */
+  void directLaunchSent(TaskId task) {
+    pendingLaunch(task).directToken = token();
+    directLaunchTokens.put(task, token());
+  }
+
+  /**
+   * Prepares orders for a response that tells the worker to forget attempts. A direct launch that
+   * arrives once more has no effect only as long as the worker knows its attempt, so a forgotten
+   * one must be refused by its token: the response gets a higher token than the launch had. The
+   * worker would refuse a call in flight too, so until that is answered such attempts are kept.
+   */
+  void fenceForgottenLaunches(List<WorkerCodec.Order> orders) {
+    if (orders.stream().noneMatch(this::forgetsLaunchOfPresentToken)) {
+      return;
+    }
+    if (directCallInFlight) {
+      orders.removeIf(this::forgetsLaunchOfPresentToken);
+    } else {
+      raiseToken();
+    }
+  }
+
+  private boolean forgetsLaunchOfPresentToken(WorkerCodec.Order order) {
+    return order.verb() == WorkerCodec.Verb.FORGET
+        && directLaunchTokens.getOrDefault(order.task(), 0L) == token();
+  }
+
+  /** Drops what is known of direct launches that the worker has forgotten and refuses. */
+  void dropForgottenLaunches() {
+    directLaunchTokens
+        .keySet()
+        .removeIf(task -> !reported.containsKey(task) && !pendingLaunches.containsKey(task));
+  }
+
   /**
    * Whether the worker has reported a token of this claim, so that it refuses the orders of older
    * claims.
--- a/src/main/java/org/baygw/control/workers/Workers.java
+++ b/src/main/java/org/baygw/control/workers/Workers.java
@@ -522,6 +522,7 @@
     worker.noticeUntil =
         report.noticeS() == null ? 0 : clock.now() + (long) (report.noticeS() * 1000);
     worker.clearResolvedLaunches(checkin);
+    worker.dropForgottenLaunches();
     worker.killSentAt.keySet().retainAll(report.tasks().keySet());
     if (addressOrSessionChanged) {
       replication.sessionKnown(partitionOf(report), worker.name, worker.addr, worker.session);
--- a/src/test/java/org/baygw/control/sim/RandomFaultTest.java
+++ b/src/test/java/org/baygw/control/sim/RandomFaultTest.java
@@ -254,6 +254,14 @@
     return (seed % 2 == 0 ? faultsWithStandby(seed) : overlappingFaultsWithFreezes(seed)) + lines;
   }
 
+  @ParameterizedTest
+  @ValueSource(longs = {1, 2, 3, 4})
+  void keepsTheRulesWhenRequestsAreRepeated(long block) {
+    for (long seed = block * 1000; seed < block * 1000 + SEEDS_PER_TEST; seed++) {
+      assertEquals(List.of(), Scenario.play(repeatedRequests(seed)), "seed " + seed);
+    }
+  }
+
   /** Seeds that once broke a rule; docs/SAFETY.md describes the fault behind each. */
   @ParameterizedTest
   @ValueSource(longs = {272, 547, 569, 661, 687, 756})
