Hand partitions over only to the controller that will take them

Cause: free claims were taken by the division among all live controllers, but handed over by the division among those seen for a second. While a returned controller was not settled the two named different owners, so a claim was given up for a controller that did not take it.

Fix: one division for both, and no handover until the live controllers that may own partitions have not changed for MEMBER_STABLE_MS; a controller that may own none hands over at once, as before.

--- a/src/main/java/org/baygw/control/Constants.java
+++ b/src/main/java/org/baygw/control/Constants.java
@@ -148,7 +148,7 @@
   /** Interval between renewals of the membership lease: allows three attempts within its term. */
   public static final long MEMBERSHIP_RENEWAL_MS = 1_500;
 
-  /** Time as a member before a controller is given partitions, against flapping. */
+  /** Time for which the members must not have changed when a partition is handed over. */
   public static final long MEMBER_STABLE_MS = 1_000;
 
   /**
--- a/src/main/java/org/baygw/control/membership/Membership.java
+++ b/src/main/java/org/baygw/control/membership/Membership.java
@@ -35,7 +35,12 @@
   private final MembershipLease lease;
   private final PartitionAssignment assignment;
   private List<Partition> partitions = List.of();
-  private final Map<String, Long> firstSeen = new HashMap<>();
+
+  /** The live controllers that may own partitions, as of the last tick. */
+  private Set<String> eligibleMembers = Set.of();
+
+  /** Monotonic time at which {@link #eligibleMembers} last changed. */
+  private long membersChangedAt;
 
   /** Stamps of claims that are known to have ended although the state cache still has them. */
   private final Map<String, Long> supersededClaims = new HashMap<>();
@@ -241,13 +246,18 @@
     return ended ? null : claim.value().owner();
   }
 
+  private void noteMembers(long now) {
+    Set<String> members = eligible(cache.members.keySet());
+    if (!members.equals(eligibleMembers)) {
+      eligibleMembers = members;
+      membersChangedAt = now;
+    }
+  }
+
   /** Handles the passing of time and changes of the state cache. */
   public void tick() {
     long now = clock.now();
-    if (store.loaded()) {
-      firstSeen.keySet().retainAll(cache.members.keySet());
-      cache.members.keySet().forEach(label -> firstSeen.putIfAbsent(label, now));
-    }
+    noteMembers(now);
     StateCache.Entry<StateCache.Claim> leader = cache.claims.get(Keys.LEADER);
     leaderZone = leader == null ? leaderZone : assignment.zoneOf(leader.value().owner());
     leaderlessSince = leader != null ? 0 : leaderlessSince == 0 ? now : leaderlessSince;
@@ -359,8 +369,18 @@
     return txn;
   }
 
+  /**
+   * Deletes the claim of a partition that another controller is to own; empty if there is none. The
+   * new owner is chosen from the controllers from which a free claim's owner is chosen, or nobody
+   * else would take the claim. While they change, as when one restarts, every partition stays where
+   * it is, unless this controller may own none.
+   */
   private Txn handoverTxn() {
-    Map<Partition, String> owners = assignment.ownersAmong(settledMembers());
+    boolean changing = clock.now() - membersChangedAt < Constants.MEMBER_STABLE_MS;
+    if (changing && eligibleMembers.contains(settings.label())) {
+      return new Txn();
+    }
+    Map<Partition, String> owners = assignment.ownersAmong(eligibleMembers);
     for (Partition partition : partitions()) {
       long stamp = heldClaimStamp(partition);
       if (stamp != 0 && !settings.label().equals(owners.get(partition))) {
@@ -411,21 +431,6 @@
     return assignment.likelyOwner(machine, zone);
   }
 
-  /**
-   * Live controllers that have been seen long enough for partitions to be handed to them, and this
-   * one.
-   */
-  private Set<String> settledMembers() {
-    Set<String> members = new HashSet<>();
-    firstSeen.forEach(
-        (label, since) -> {
-          if (clock.now() - since >= Constants.MEMBER_STABLE_MS || label.equals(settings.label())) {
-            members.add(label);
-          }
-        });
-    return eligible(members);
-  }
-
   /**
    * The given controllers that are not leaving and reach their workers; if none reaches its
    * workers, all that are not leaving.
--- a/src/test/java/org/baygw/control/sim/ScenarioExpectations.java
+++ b/src/test/java/org/baygw/control/sim/ScenarioExpectations.java
@@ -158,6 +158,11 @@
           failures.add(changes + " claim changes");
         }
       }
+      case "claims-released-at-most" -> {
+        if (cluster.state.claimsReleased > Integer.parseInt(words[2])) {
+          failures.add(cluster.state.claimsReleased + " claims were released");
+        }
+      }
       case "never-left" -> {
         if (cluster.checker.jobsWithStoppedTask.contains(words[2])) {
           failures.add("a task of " + words[2] + " left its machine");
--- a/src/test/java/org/baygw/control/sim/StateServiceStub.java
+++ b/src/test/java/org/baygw/control/sim/StateServiceStub.java
@@ -46,6 +46,9 @@
 
   int refusals;
 
+  /** Number of claims that their holders gave up. */
+  int claimsReleased;
+
   /** Description of the first transaction over a limit of the protocol, or null. */
   String firstLimitViolation;
 
@@ -336,6 +339,7 @@
         }
         history.add(new Change(key, operation.path("value"), revision));
       } else if (items.containsKey(operation.path("delete").asText())) {
+        claimsReleased += operation.path("delete").asText().startsWith(CLAIMS) ? 1 : 0;
         remove(operation.path("delete").asText());
       }
     }
