Create the member key only where there is none

What was seen, in simulation: an operator hands a controller's roles over; a late copy of the write with which it had joined replaces its member key, which no longer says that it is leaving, and it takes its roles again.

Cause: the same class as the task on two machines: a write that was carried out takes effect again after what it wrote was superseded. It was the only write of a controller on its own account without a condition.

Fix: the write requires that the key does not exist.

--- a/src/main/java/org/baygw/control/membership/MembershipLease.java
+++ b/src/main/java/org/baygw/control/membership/MembershipLease.java
@@ -148,12 +148,13 @@
         });
   }
 
+  /** Creates the member key; a late copy of the write must not replace what it says by then. */
   private void register(long leaseId) {
     requestInFlight = true;
     String key = Keys.member(settings.label());
     store.txn(
         Store.Urgency.LEASE,
-        new Txn().put(key, memberValue(leaseId, true), leaseId),
+        new Txn().when(key, 0).put(key, memberValue(leaseId, true), leaseId),
         Constants.STATE_TIMEOUT_MS,
         outcome -> {
           requestInFlight = false;
