--- a/src/test/java/org/baygw/control/sim/ProcessScenarios.java
+++ b/src/test/java/org/baygw/control/sim/ProcessScenarios.java
@@ -43,7 +43,10 @@
         seed);
   }
 
-  /** Kills, pauses, terminations, handovers and cancellations, one after another. */
+  /**
+   * Kills, pauses, terminations, handovers and cancellations, one after another, while requests to
+   * workers, state service and cloud arrive once more.
+   */
   static String random(long seed, int seconds) {
     Random random = new Random(seed);
     StringBuilder lines = new StringBuilder(setUp(seed));
@@ -51,6 +54,8 @@
     lines.append(
         String.format(
             Locale.ROOT, "at 4 every 0.5 until %.1f submit run-# tasks=2 run=5%n", lastFault));
+    lines.append(
+        String.format(Locale.ROOT, "at 5 repeat all share 0.5 for %.1f%n", lastFault - 20));
     for (double at = 10; at < lastFault; at += 2.5 + random.nextDouble() * 5) {
       double span = 0.2 + random.nextDouble() * (random.nextBoolean() ? 2 : 9);
       String controller = "yurt-" + random.nextInt(3);
