--- a/src/test/java/org/baygw/control/sim/ManyRandomDays.java
+++ b/src/test/java/org/baygw/control/sim/ManyRandomDays.java
@@ -7,8 +7,8 @@
 import org.junit.jupiter.api.Test;
 
 /**
- * Plays many random scenarios, one for each seed. Not part of the build: {@code mvn test
- * -Dtest=ManyRandomDays [-DargLine="-Dfirst=1 -Ddays=200"]}.
+ * Plays many random scenarios, two for each seed: with warm standby, and with repeated requests.
+ * Not part of the build: {@code mvn test -Dtest=ManyRandomDays [-DargLine="-Dfirst=1 -Ddays=200"]}.
  */
 final class ManyRandomDays {
   private static final long FIRST = Long.getLong("first", 1);
@@ -21,7 +21,9 @@
         .parallel()
         .forEach(
             seed -> {
-              List<String> found = Scenario.play(RandomFaultTest.repeatedRequests(seed));
+              List<String> found = new ArrayList<>();
+              found.addAll(Scenario.play(RandomFaultTest.faultsWithStandby(seed)));
+              found.addAll(Scenario.play(RandomFaultTest.repeatedRequests(seed)));
               if (!found.isEmpty()) {
                 synchronized (failed) {
                   failed.add("seed " + seed + ": " + found);
