--- a/review/src-2/Checks.java
+++ b/review/src-2/Checks.java
@@ -110,6 +110,24 @@
     return true;
   }
 
+  /** Number of the job's tasks that are on a machine. */
+  int running(String id) {
+    int count = 0;
+    for (int i = 0; i < jobs.get(id).tasks; i++) {
+      count += machinesOf(id + "/" + i).isEmpty() ? 0 : 1;
+    }
+    return count;
+  }
+
+  /** The machines that the job's tasks are on. */
+  Set<String> machineNames(String id) {
+    Set<String> names = new LinkedHashSet<>();
+    for (int i = 0; i < jobs.get(id).tasks; i++) {
+      machinesOf(id + "/" + i).forEach(worker -> names.add(worker.name));
+    }
+    return names;
+  }
+
   /** Whether a task of the job has started. */
   boolean hasBegun(String id) {
     return begun.contains(id);
--- a/review/src-2/Worker.java
+++ b/review/src-2/Worker.java
@@ -218,17 +218,17 @@
    * While it is positive, direct commands are held up on their way for so many ms and not answered;
    * then they are carried out once, if token and session still match.
    */
-  static long lateCommandsMs;
+  long lateMs;
 
   private void handle(String method, String target, byte[] body, Rig.Reply reply) {
     synchronized (rig) {
       if (gone) {
         return; // a machine that is gone says nothing
       }
-      if (lateCommandsMs > 0 && target.equals("/orders")) {
+      if (lateMs > 0 && target.equals("/orders")) {
         rig.note(name + ": a direct command is held up: " + new String(body));
         rig.after(
-            lateCommandsMs,
+            lateMs,
             () ->
                 receive(
                     target,
