--- a/review/src-2/Cloud.java
+++ b/review/src-2/Cloud.java
@@ -26,8 +26,6 @@
   /** The most machines that exist at once. */
   int capacity = 28;
 
-  boolean outage;
-
   Cloud(Rig rig) {
     this.rig = rig;
     rig.clock.scheduleAtFixedRate(this::publish, 0, 1000, java.util.concurrent.TimeUnit.MILLISECONDS);
@@ -91,10 +89,6 @@
 
   void handle(String method, String target, byte[] body, Rig.Reply reply) {
     synchronized (rig) {
-      if (outage) {
-        reply.send(503, Json.of("error", "trouble"));
-        return;
-      }
       Map<String, Object> request = Json.object(body);
       if (target.equals("/machine_types")) {
         Rig.Site s = rig.site;
--- a/review/src-2/Rig.java
+++ b/review/src-2/Rig.java
@@ -367,19 +367,6 @@
     return processes.containsKey(label) && processes.get(label).isAlive();
   }
 
-  void signal(String name, String label) {
-    try {
-      new ProcessBuilder("kill", "-" + name, "" + processes.get(label).pid()).start().waitFor();
-    } catch (IOException | InterruptedException e) {
-      throw new IllegalStateException(e);
-    }
-    note("controller " + label + " gets SIG" + name);
-  }
-
-  long pid(String label) {
-    return processes.get(label).pid();
-  }
-
   /** Waits until all controllers answer 200 to GET /up; ends with 2 if they do not. */
   void awaitUp(double seconds) {
     for (String label : labels) {
--- a/review/src-2/Worker.java
+++ b/review/src-2/Worker.java
@@ -47,9 +47,6 @@
   private boolean gone;
   private int node;
 
-  /** The reports sent so far, with the time of sending. */
-  final List<Object[]> sentReports = new ArrayList<>();
-
   /** Called with the text of a report when it is sent, and when its answer has arrived. */
   interface ReportListener {
     void report(Worker worker, byte[] report, int status);
@@ -86,10 +83,6 @@
     attempts.clear();
   }
 
-  long session() {
-    return session;
-  }
-
   boolean has(String task) {
     return attempts.values().stream().anyMatch(a -> a.task.equals(task) && a.cause == null);
   }
@@ -149,7 +142,6 @@
     long sentAt = lastReportAt;
     long sentInSession = session;
     byte[] body = Json.bytes(describe());
-    sentReports.add(new Object[] {sentAt, body});
     String label = rig.labels.get(node);
     var sent = rig.send(label, false, "POST", "/checkin", body, 4);
     onReportSent.report(this, body, 0);
