Take no report as proof before its worker has shown the claim's token

Cause: an attempt that ended without a record of it is launched again under the same number in the machine's next session. TerminationEvidence.endOf took "ended" with that number from any report, also before the worker had shown this claim's token, so a late copy of a report of the session before ended an attempt that ran.

Evidence: simulated, LOG_LEVEL=debug: "ended run-1/0@1 ...: REPORTED_ENDED; session 1, ... token seen 3145728, claim 22" (claim 22's tokens begin at), then "KILL run-1/0@1 ...: not on record; session 2".

Change: until the worker has reported this claim's token nothing but the machine's return proves an end, not even "done": a completed task that was launched again has its machine and a share of its team's limit for a moment. A copy of an old report cannot contain the token, and a worker that has shown it refuses a former owner's launches. Once it is shown, only newer reports count. A machine that reports but hears nothing never shows it; its tasks end with its return.

--- a/src/main/java/org/baygw/control/workers/TerminationEvidence.java
+++ b/src/main/java/org/baygw/control/workers/TerminationEvidence.java
@@ -81,11 +81,19 @@
     return ends == null ? Map.of() : ends;
   }
 
-  /** How a recorded task left the machine; null if that is not proved. */
+  /**
+   * How a recorded task left the machine; null if that is not proved. Reports prove nothing until
+   * the worker has shown this claim's token: one may be a late copy from an earlier session, in
+   * which an attempt ended that was launched again in a later one, and until then a former owner
+   * may still launch it.
+   */
   End endOf(WorkerSession worker, Machine machine, TaskId task, int attempt) {
     if (cache.drains.get(machine.name()) == StateCache.Drain.GONE) {
       return End.MACHINE_RETURNED;
     }
+    if (!worker.claimConfirmed()) {
+      return null;
+    }
     WorkerCodec.ReportedTask reported = worker.reported.get(task);
     if (reported != null && reported.attempt() == attempt) {
       if (reported.state() != WorkerCodec.State.ENDED) {
@@ -94,8 +102,7 @@
       return reported.cause() == WorkerCodec.Cause.DONE ? End.REPORTED_DONE : End.REPORTED_ENDED;
     }
     boolean absent =
-        worker.claimConfirmed()
-            && (reported == null || reported.state() == WorkerCodec.State.ENDED)
+        (reported == null || reported.state() == WorkerCodec.State.ENDED)
             && !worker.pendingLaunches.containsKey(task);
     // A hung machine keeps its tasks after its lease has expired. A task of a cancelled job
     // therefore stays on record until its worker is heard from or the machine is returned:
--- a/src/test/java/org/baygw/control/sim/CloudStub.java
+++ b/src/test/java/org/baygw/control/sim/CloudStub.java
@@ -68,6 +68,11 @@
     return machines.size();
   }
 
+  /** The next machine gets this number in its name, on which its partition depends. */
+  void nextNumber(int number) {
+    machinesCreated = number - 1;
+  }
+
   String add(String zone, boolean spot, long bootDelayMs) {
     String name = String.format("n-%06d", ++machinesCreated);
     RentedMachine machine = new RentedMachine();
--- a/src/test/java/org/baygw/control/sim/Scenario.java
+++ b/src/test/java/org/baygw/control/sim/Scenario.java
@@ -100,6 +100,9 @@
       switch (words[0]) {
         case "machines" -> {
           Map<String, String> options = ScenarioWords.options(words, 1);
+          if (options.containsKey("first")) {
+            cluster.cloud.nextNumber(Integer.parseInt(options.get("first")));
+          }
           for (int i = 0; i < Integer.parseInt(options.getOrDefault("count", "1")); i++) {
             cluster.cloud.add(options.getOrDefault("zone", "a"), options.containsKey("spot"), 0);
           }
--- a/src/test/java/org/baygw/control/sim/ScenarioActions.java
+++ b/src/test/java/org/baygw/control/sim/ScenarioActions.java
@@ -220,7 +220,13 @@
         cluster.workers.values().stream().limit(count).forEach(worker -> worker.hang(forMs));
       }
       case "take" -> cluster.cloud.remove(words[3]);
-      case "sick" -> cluster.workers.get(words[3]).sick = true;
+      case "sick" -> {
+        WorkerStub worker = cluster.workers.get(words[3]);
+        worker.sick = true;
+        if (forMs > 0) {
+          cluster.after(forMs, () -> worker.sick = false);
+        }
+      }
       case "notice" -> {
         cluster.workers.get(words[3]).reclaimAt = cluster.now() + forMs;
         cluster.after(forMs, () -> cluster.cloud.remove(words[3]));
