Do not count a kill as sent in the answer to an unconfirmed report

What callers saw: none reported.

Cause: WorkerCommands notes a kill as sent when it goes with the answer to a report. The first report that reaches a new owner may be a late copy, whose answer reaches nobody, and a kill with time to save is not given again.

Change: the kill is noted only once the worker has shown this claim's token, so that the answer to its next report carries it again. A second one while the task saves has no effect: only one with no time to save would end it.

--- a/src/main/java/org/baygw/control/workers/WorkerCommands.java
+++ b/src/main/java/org/baygw/control/workers/WorkerCommands.java
@@ -221,7 +221,10 @@
           && (lastKill == null
               || clock.now() - lastKill > settings.workers().reportS() * 1000
                   && kill.graceS() == 0)) {
-        worker.killSentAt.put(entry.getKey(), clock.now());
+        // The answer to a late copy of a report reaches nobody, so an order in it was not given.
+        if (worker.claimConfirmed()) {
+          worker.killSentAt.put(entry.getKey(), clock.now());
+        }
         orders.add(kill);
       }
     }
