Let the index of unplaced tasks take tasks off partitions that have none

Cause: StateCache removed a task from unplaced.getOrDefault(partition, Set.of()), an immutable set if the partition never had an unplaced task. When all keys are listed again, progress comes before the partitions' records: a task that moved meanwhile is granted to the new partition while this cache still has it on its old machine, so it is never counted as unplaced there. The new partition's record then threw at its first task, and its other tasks were lost: those were killed as "not on record" or started on another machine. The grant's end threw once more, out of the callback of a read, and left its flag set.

Change: a task is taken off the set if there is one. Both places were the only ones: every other shared default in main code is only read (searched for getOrDefault with Set.of, Map.of, List.of and static defaults).

--- a/src/main/java/org/baygw/control/store/StateCache.java
+++ b/src/main/java/org/baygw/control/store/StateCache.java
@@ -256,7 +256,14 @@
 
   private void grantRemoved(TaskId task, Progress.LiveTask grant) {
     grantedCounts.merge(grant.partition(), -1, Integer::sum);
-    unplaced.getOrDefault(grant.partition(), Set.of()).remove(task);
+    removeUnplaced(grant.partition(), task);
+  }
+
+  private void removeUnplaced(Partition partition, TaskId task) {
+    Set<TaskId> tasks = unplaced.get(partition);
+    if (tasks != null) {
+      tasks.remove(task);
+    }
   }
 
   private void grantAdded(TaskId task, Progress.LiveTask grant) {
@@ -572,7 +579,7 @@
         taskMachines.computeIfAbsent(task, k -> new HashSet<>()).add(machine);
         Progress.LiveTask grant = grant(task);
         if (grant != null) {
-          unplaced.getOrDefault(grant.partition(), Set.of()).remove(task);
+          removeUnplaced(grant.partition(), task);
         }
       }
     }
--- a/src/test/java/org/baygw/control/sim/ScenarioActions.java
+++ b/src/test/java/org/baygw/control/sim/ScenarioActions.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import java.util.List;
+import java.util.Map;
 import org.baygw.control.core.Json;
 
 /** Executes the actions of a scenario: users' requests and faults. */
@@ -220,6 +221,11 @@
         cluster.workers.values().stream().limit(count).forEach(worker -> worker.hang(forMs));
       }
       case "take" -> cluster.cloud.remove(words[3]);
+      case "add-machine" -> {
+        Map<String, String> options = ScenarioWords.options(words, 3);
+        cluster.cloud.nextNumber(Integer.parseInt(options.get("number")));
+        cluster.cloud.add(options.getOrDefault("zone", "a"), options.containsKey("spot"), 0);
+      }
       case "sick" -> {
         WorkerStub worker = cluster.workers.get(words[3]);
         worker.sick = true;
