Move the index of tasks by machine and partition into a class of its own

Change: TaskIndex keeps where tasks are and which are unplaced; StateCache decodes keys. Behaviour unchanged.

--- a/src/main/java/org/baygw/control/jobs/Jobs.java
+++ b/src/main/java/org/baygw/control/jobs/Jobs.java
@@ -289,7 +289,7 @@
       for (StateCache.Entry<Progress> p : chunks.values()) {
         done += p.value().doneCount();
         for (int i : p.value().live.keySet()) {
-          if (cache.taskMachines.containsKey(new TaskId(id, i))) {
+          if (!cache.machinesWith(new TaskId(id, i)).isEmpty()) {
             running++;
           }
         }
--- a/src/main/java/org/baygw/control/quota/PartitionAvoidance.java
+++ b/src/main/java/org/baygw/control/quota/PartitionAvoidance.java
@@ -71,6 +71,6 @@
         && job.value().open()
         && progress != null
         && !progress.isDone(task.index())
-        && !cache.taskMachines.containsKey(task);
+        && cache.machinesWith(task).isEmpty();
   }
 }
--- a/src/main/java/org/baygw/control/store/StateCache.java
+++ b/src/main/java/org/baygw/control/store/StateCache.java
@@ -84,9 +84,6 @@
   public List<MachineType> types = List.of();
   public SchedulingParameters params = SchedulingParameters.DEFAULTS;
 
-  /** Machines that may have each task; more than one only in case of a fault. */
-  public final Map<TaskId, Set<String>> taskMachines = new HashMap<>();
-
   /** Partitions per zone; 0 until the number is durable. */
   private int partitionsPerZone;
 
@@ -95,19 +92,13 @@
 
   private final Map<Partition, Set<String>> machinesByPartition = new HashMap<>();
   private final PartitionPages pages = new PartitionPages();
-  private final Map<String, Map<TaskId, Integer>> tasksByMachine = new HashMap<>();
+  private final TaskIndex tasks = new TaskIndex(this::grant);
 
   /** Ended tasks, by job and key of the page of a partition's record. */
   private final Map<String, Map<String, PageEndedTasks>> endedTasks = new HashMap<>();
 
   private final Map<Partition, Map<String, Drain>> drainsByPartition = new HashMap<>();
 
-  /** Tasks granted to each partition that are on no machine. */
-  private final Map<Partition, Set<TaskId>> unplaced = new HashMap<>();
-
-  /** Number of tasks granted to each partition. */
-  private final Map<Partition, Integer> grantedCounts = new HashMap<>();
-
   private Set<String> changedMachines = new LinkedHashSet<>();
 
   /** Jobs that are cancelled in this cache, by the revision of their cancellation. */
@@ -204,7 +195,7 @@
   private void markMachinesChanged(String job) {
     for (Entry<Progress> c : progress.getOrDefault(job, NO_CHUNKS).values()) {
       for (int i : c.value().live.keySet()) {
-        changedMachines.addAll(taskMachines.getOrDefault(new TaskId(job, i), Set.of()));
+        changedMachines.addAll(tasks.machinesWith(new TaskId(job, i)));
       }
     }
   }
@@ -225,15 +216,22 @@
 
   /** Tasks on a machine by its partition's record, with their attempts. */
   public Map<TaskId, Integer> tasksOn(String machine) {
-    return tasksByMachine.getOrDefault(machine, Map.of());
+    return tasks.tasksOn(machine);
+  }
+
+  /** Machines that may have the task; more than one only in case of a fault. */
+  public Set<String> machinesWith(TaskId task) {
+    return tasks.machinesWith(task);
   }
 
+  /** Number of tasks granted to a partition. */
   public int grantedCount(Partition partition) {
-    return grantedCounts.getOrDefault(partition, 0);
+    return tasks.grantedCount(partition);
   }
 
+  /** Tasks granted to a partition that are on no machine. */
   public Set<TaskId> unplaced(Partition partition) {
-    return unplaced.getOrDefault(partition, Set.of());
+    return tasks.unplaced(partition);
   }
 
   /** Number of a job's completed tasks, including those not yet in its stored progress. */
@@ -254,25 +252,10 @@
     return changed;
   }
 
-  private void grantRemoved(TaskId task, Progress.LiveTask grant) {
-    grantedCounts.merge(grant.partition(), -1, Integer::sum);
-    removeUnplaced(grant.partition(), task);
-  }
-
-  private void removeUnplaced(Partition partition, TaskId task) {
-    Set<TaskId> tasks = unplaced.get(partition);
-    if (tasks != null) {
-      tasks.remove(task);
-    }
-  }
-
   private void grantAdded(TaskId task, Progress.LiveTask grant) {
-    grantedCounts.merge(grant.partition(), 1, Integer::sum);
-    Set<String> assigned = taskMachines.get(task);
-    if (assigned == null) {
-      unplaced.computeIfAbsent(grant.partition(), k -> new HashSet<>()).add(task);
-    } else if (grant.stopRequested()) {
-      changedMachines.addAll(assigned);
+    tasks.addGrant(task, grant);
+    if (grant.stopRequested()) {
+      changedMachines.addAll(tasks.machinesWith(task));
     }
   }
 
@@ -440,7 +423,7 @@
     Progress next = value == null ? null : ProgressCodec.decode(chunk, value);
     Entry<Progress> old = chunks.get(chunk);
     if (old != null) {
-      old.value().live.forEach((i, l) -> grantRemoved(new TaskId(job, i), l));
+      old.value().live.forEach((i, l) -> tasks.removeGrant(new TaskId(job, i), l));
     }
     if (next == null) {
       storedProgress.remove(key);
@@ -543,7 +526,7 @@
     if (chunk != null && !chunk.isDone(index)) {
       Progress.LiveTask grant = chunk.live.get(index);
       if (grant != null) {
-        grantRemoved(new TaskId(job, index), grant);
+        tasks.removeGrant(new TaskId(job, index), grant);
       }
       chunk.complete(index);
     }
@@ -552,42 +535,13 @@
   private void taskRequeued(String job, int index, int attempt) {
     Progress chunk = progress(job, Progress.chunkOf(index));
     if (chunk != null && chunk.isLive(index, attempt)) {
-      grantRemoved(new TaskId(job, index), chunk.live.get(index));
+      tasks.removeGrant(new TaskId(job, index), chunk.live.get(index));
       chunk.requeue(index);
     }
   }
 
   private void tasksChanged(String machine, Map<TaskId, Integer> next) {
-    Map<TaskId, Integer> old = tasksOn(machine);
-    for (TaskId task : old.keySet()) {
-      if (!next.containsKey(task)) {
-        Set<String> assigned = taskMachines.get(task);
-        assigned.remove(machine);
-        if (assigned.isEmpty()) {
-          taskMachines.remove(task);
-          Progress.LiveTask grant = grant(task);
-          if (grant != null) {
-            unplaced.computeIfAbsent(grant.partition(), k -> new HashSet<>()).add(task);
-          }
-        }
-      }
-    }
-    Set<TaskId> added = new HashSet<>();
-    for (TaskId task : next.keySet()) {
-      if (!old.containsKey(task)) {
-        added.add(task);
-        taskMachines.computeIfAbsent(task, k -> new HashSet<>()).add(machine);
-        Progress.LiveTask grant = grant(task);
-        if (grant != null) {
-          removeUnplaced(grant.partition(), task);
-        }
-      }
-    }
-    if (next.isEmpty()) {
-      tasksByMachine.remove(machine);
-    } else {
-      tasksByMachine.put(machine, next);
-    }
+    Set<TaskId> added = tasks.setTasks(machine, next);
     Entry<Machine> entry = machines.get(machine);
     if (entry != null) {
       machines.put(
@@ -597,9 +551,9 @@
   }
 
   /** Adds the images of the tasks, since a machine fetches the image of each task it is given. */
-  private Machine withImages(Machine machine, Set<TaskId> tasks) {
+  private Machine withImages(Machine machine, Set<TaskId> added) {
     Machine next = machine;
-    for (TaskId task : tasks) {
+    for (TaskId task : added) {
       Entry<Job> job = jobs.get(task.job());
       if (job != null && !next.images().contains(job.value().spec().image())) {
         next = next.withImage(job.value().spec().image());
--- a/src/main/java/org/baygw/control/workers/CancellationDeadline.java
+++ b/src/main/java/org/baygw/control/workers/CancellationDeadline.java
@@ -181,7 +181,7 @@
       for (StateCache.Entry<Progress> chunk : chunks.values()) {
         for (int index : chunk.value().live.keySet()) {
           TaskId task = new TaskId(job, index);
-          found.put(task, cache.taskMachines.getOrDefault(task, Set.of()));
+          found.put(task, cache.machinesWith(task));
         }
       }
     }
--- a/src/test/java/org/baygw/control/store/StateCacheTest.java
+++ b/src/test/java/org/baygw/control/store/StateCacheTest.java
@@ -9,7 +9,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
-import java.util.Set;
 import java.util.TreeMap;
 import java.util.TreeSet;
 import org.baygw.control.model.Machine;
@@ -59,7 +58,7 @@
     }
     for (TaskId task : SimulatedRecords.tasks()) {
       view.put("grant " + task, String.valueOf(cache.grant(task)));
-      view.put("machines of " + task, cache.taskMachines.getOrDefault(task, Set.of()));
+      view.put("machines of " + task, cache.machinesWith(task));
     }
     view.put("done", cache.doneCount(SimulatedRecords.JOB));
     return view;
