Decode a value completely before any of it is applied to the state cache

Cause: StateCache.put noted a value's stamp first, changed its indexes while it decoded, and logged an exception away. A value that failed half-way stayed applied in part, under a stamp that said it was whole; writes that depend on it succeeded, and no listing read it again.

Change: a value is decoded into a change (PageChange for a page of a record) that cannot fail, and only then applied; its stamp is noted last. A value that cannot be decoded leaves the former one with the former stamp, so that writes that depend on the key fail; each listing tries it again. While it is a page of a partition's record the owner does not act for that partition. A change that fails all the same marks the cache as inconsistent. The cache's indexes of ended tasks, cancellations and stamps become classes of their own.

--- a/src/main/java/org/baygw/control/membership/Membership.java
+++ b/src/main/java/org/baygw/control/membership/Membership.java
@@ -85,7 +85,7 @@
   /**
    * The stamp of the role's claim if this process holds it, else 0. A claim counts only once the
    * state cache has reached its revision: until then the last writes of the former holder may be
-   * missing from the cache.
+   * missing from the cache. Nor does it count while the partition's record cannot be decoded.
    */
   public long heldClaimStamp(String role) {
     StateCache.Entry<StateCache.Claim> claim = cache.claims.get(role);
@@ -94,6 +94,7 @@
             && claim.value().leaseId() == lease.currentLeaseId()
             && cache.revision() >= claim.stamp()
             && claim.stamp() > supersededClaims.getOrDefault(role, 0L)
+            && !cache.hasUndecodableRecord(role)
         ? claim.stamp()
         : 0;
   }
--- a/src/main/java/org/baygw/control/store/Keys.java
+++ b/src/main/java/org/baygw/control/store/Keys.java
@@ -28,7 +28,12 @@
 
   /** Page of a partition's record, which has the tasks on the partition's machines. */
   public static String record(Partition partition, int page) {
-    return ROOT + "run/" + partition + (page == 0 ? "" : "/" + page);
+    return record(partition.toString()) + (page == 0 ? "" : "/" + page);
+  }
+
+  /** First page of a partition's record. */
+  static String record(String partition) {
+    return ROOT + "run/" + partition;
   }
 
   public static String claim(String role) {
--- a/src/main/java/org/baygw/control/store/StateCache.java
+++ b/src/main/java/org/baygw/control/store/StateCache.java
@@ -1,7 +1,6 @@
 package org.baygw.control.store;
 
 import com.fasterxml.jackson.databind.JsonNode;
-import java.util.BitSet;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -12,7 +11,6 @@
 import java.util.SortedMap;
 import java.util.TreeMap;
 import java.util.TreeSet;
-import org.baygw.control.Constants;
 import org.baygw.control.model.Job;
 import org.baygw.control.model.Machine;
 import org.baygw.control.model.MachineType;
@@ -54,13 +52,10 @@
     GONE
   }
 
-  /** Ended tasks of a job on a page: completed ones, and the ended attempts of the others. */
-  private record PageEndedTasks(BitSet done, Map<Integer, Integer> requeued) {}
-
   private static final Logger LOG = LoggerFactory.getLogger(StateCache.class);
 
-  private final Map<String, Long> stamps = new HashMap<>();
-  private final Map<String, Long> tombstones = new HashMap<>();
+  private final KeyVersions versions = new KeyVersions();
+  private boolean inconsistent;
   private long revision;
   private long changeCount;
 
@@ -94,21 +89,12 @@
   private final PartitionPages pages = new PartitionPages();
   private final TaskIndex tasks = new TaskIndex(this::grant);
 
-  /** Ended tasks, by job and key of the page of a partition's record. */
-  private final Map<String, Map<String, PageEndedTasks>> endedTasks = new HashMap<>();
-
+  private final EndedTaskIndex endedTasks = new EndedTaskIndex();
   private final Map<Partition, Map<String, Drain>> drainsByPartition = new HashMap<>();
 
   private Set<String> changedMachines = new LinkedHashSet<>();
 
-  /** Jobs that are cancelled in this cache, by the revision of their cancellation. */
-  private final TreeMap<Long, Set<String>> cancelledByRevision = new TreeMap<>();
-
-  /** A cancellation reported by a peer: its revision, and the time of day when it was written. */
-  private record PeerCancellation(long stamp, long cancelledMs) {}
-
-  /** Durable cancellations reported by peers, of revisions that this cache has not reached. */
-  private final Map<String, PeerCancellation> peerCancellations = new HashMap<>();
+  private final CancellationIndex cancellations = new CancellationIndex();
 
   public long revision() {
     return revision;
@@ -129,7 +115,7 @@
   }
 
   public long stamp(String key) {
-    return stamps.getOrDefault(key, 0L);
+    return versions.stamp(key);
   }
 
   public MachineType type(String name) {
@@ -162,26 +148,26 @@
    */
   public boolean shouldRun(String job) {
     Entry<Job> j = jobs.get(job);
-    return j != null && j.value().open() && !peerCancellations.containsKey(job);
+    return j != null && j.value().open() && !cancellations.isReported(job);
   }
 
   public boolean isCancelled(String job) {
     Entry<Job> j = jobs.get(job);
-    return peerCancellations.containsKey(job)
-        || j != null && j.value().state() == Job.State.CANCELLED;
+    return cancellations.isReported(job) || j != null && j.value().state() == Job.State.CANCELLED;
   }
 
   /** Time of day, in ms, at which the cancellation of a cancelled job was written. */
   public long cancelledMs(String job) {
-    PeerCancellation reported = peerCancellations.get(job);
-    Entry<Job> j = jobs.get(job);
-    return reported != null ? reported.cancelledMs() : j == null ? 0 : j.value().cancelledMs();
+    if (cancellations.isReported(job)) {
+      return cancellations.reportedMs(job);
+    }
+    Entry<Job> entry = jobs.get(job);
+    return entry == null ? 0 : entry.value().cancelledMs();
   }
 
   /** Adds a cancellation that a peer reported, which became durable at the revision. */
   public void addPeerCancellation(String job, long stamp, long cancelledMs) {
-    if (stamp > revision
-        && peerCancellations.putIfAbsent(job, new PeerCancellation(stamp, cancelledMs)) == null) {
+    if (stamp > revision && cancellations.addReported(job, stamp, cancelledMs)) {
       changeCount++;
       markMachinesChanged(job);
     }
@@ -189,7 +175,7 @@
 
   /** Jobs in this cache that were cancelled after a revision, by revision of the cancellation. */
   public SortedMap<Long, Set<String>> cancelledAfter(long revision) {
-    return cancelledByRevision.tailMap(revision, false);
+    return cancellations.recordedAfter(revision);
   }
 
   private void markMachinesChanged(String job) {
@@ -269,139 +255,208 @@
   void advanceTo(long rev) {
     if (rev > revision) {
       revision = rev;
-      tombstones.values().removeIf(s -> s <= rev);
-      peerCancellations.values().removeIf(t -> t.stamp() <= rev);
+      versions.advanceTo(rev);
+      cancellations.advanceTo(rev);
     }
   }
 
   Set<String> keys() {
-    return new HashSet<>(stamps.keySet());
+    return versions.keys();
+  }
+
+  /** Number of keys whose latest value cannot be decoded. */
+  public int undecodableCount() {
+    return versions.undecodableCount();
+  }
+
+  /** Whether a page of the partition's record cannot be decoded, so that its tasks are unknown. */
+  public boolean hasUndecodableRecord(String partition) {
+    return versions.hasUndecodableRecord(partition);
+  }
+
+  /**
+   * Whether a change failed half-way, so that the indexes may contradict each other and nothing may
+   * be decided from this cache any more.
+   */
+  public boolean inconsistent() {
+    return inconsistent;
+  }
+
+  boolean isNewer(String key, long stamp) {
+    return versions.isNewer(key, stamp);
   }
 
   void put(String key, JsonNode value, long stamp) {
-    if (stamp <= stamps.getOrDefault(key, 0L) || stamp <= tombstones.getOrDefault(key, 0L)) {
+    if (!isNewer(key, stamp)) {
       return;
     }
-    stamps.put(key, stamp);
-    changeCount++;
+    Runnable change;
     try {
-      apply(key, value, stamp);
+      change = decode(key, value, stamp);
     } catch (RuntimeException e) {
-      // A malformed value of another writer must not stop the controller; its stamp is kept.
-      LOG.error("failed to apply the value of {}: {}", key, e.toString());
+      LOG.error("cannot decode the value of {} at revision {}", key, stamp, e);
+      versions.couldNotDecode(key, stamp);
+      changeCount++;
+      return;
+    }
+    if (run(change, key, stamp)) {
+      versions.applied(key, stamp);
     }
   }
 
   void delete(String key, long stamp) {
-    if (stamp <= stamps.getOrDefault(key, 0L) || stamp <= tombstones.getOrDefault(key, 0L)) {
+    if (!isNewer(key, stamp)) {
       return;
     }
-    stamps.remove(key);
-    if (stamp > revision) {
-      tombstones.put(key, stamp);
+    if (stamp(key) == 0 || run(decode(key, null, stamp), key, stamp)) {
+      versions.deleted(key, stamp, revision);
     }
+  }
+
+  /** Makes a decoded change; one that fails leaves the cache inconsistent. */
+  private boolean run(Runnable change, String key, long stamp) {
     changeCount++;
-    apply(key, null, stamp);
+    try {
+      change.run();
+      return true;
+    } catch (RuntimeException e) {
+      LOG.error("inconsistent since the change of {} at revision {}", key, stamp, e);
+      inconsistent = true;
+      return false;
+    }
   }
 
-  private void apply(String key, JsonNode v, long stamp) {
+  /**
+   * Decodes a key's value, null if the key was deleted, and returns the change that it makes.
+   * Nothing is changed before the returned action runs.
+   */
+  private Runnable decode(String key, JsonNode value, long stamp) {
     String[] segments = key.split("/", 4);
     String id = segments.length > 2 ? segments[2] : "";
-    switch (segments.length > 1 ? segments[1] : "") {
-      case "job" -> {
-        set(jobs, id, v == null ? null : Records.job(id, v), stamp);
-        updateActive(id);
-        if (v != null && !jobs.get(id).value().open()) {
-          if (jobs.get(id).value().state() == Job.State.CANCELLED) {
-            cancelledByRevision.computeIfAbsent(stamp, k -> new HashSet<>()).add(id);
-          }
-          markMachinesChanged(id);
-        }
+    return switch (segments.length > 1 ? segments[1] : "") {
+      case "job" -> decodeJob(id, value, stamp);
+      case "prog" -> decodeProgress(key, id, Integer.parseInt(segments[3]), value, stamp);
+      case "run" -> {
+        int page = segments.length > 3 ? Integer.parseInt(segments[3]) : 0;
+        yield decodePage(Partition.parse(id), page, value);
       }
-      case "prog" -> progressChanged(key, id, Integer.parseInt(segments[3]), v, stamp);
-      case "run" ->
-          recordChanged(
-              Partition.parse(id),
-              segments.length > 3 ? Integer.parseInt(segments[3]) : 0,
-              v == null ? PartitionRecord.EMPTY : Records.partitionRecord(v));
-      case "machine" -> {
-        Machine next = v == null ? null : Records.machine(id, v, partitionsPerZone);
-        Entry<Machine> old = machines.get(id);
-        if (next != null) {
-          String condition = condition(next.partition(), id);
-          next = next.withTasks(tasksOn(id));
-          next =
-              condition == null ? next : next.withCondition(Machine.Condition.valueOf(condition));
-          for (String image : old == null ? List.<String>of() : old.value().images()) {
-            next = next.withImage(image);
-          }
-          next = withImages(next, next.tasks().keySet());
-        }
-        set(machines, id, next, stamp);
-        if (next != null) {
-          machinesByPartition.computeIfAbsent(next.partition(), k -> new TreeSet<>()).add(id);
-        } else if (old != null) {
-          machinesByPartition.get(old.value().partition()).remove(id);
-        }
-        changedMachines.add(id);
+      case "machine" -> decodeMachine(id, value, stamp);
+      case "layout" -> {
+        int perZone = value == null ? 0 : value.path("partitions_per_zone").asInt();
+        yield () -> partitionsPerZone = perZone;
       }
-      case "layout" -> partitionsPerZone = v == null ? 0 : v.path("partitions_per_zone").asInt();
       case "claim" -> {
-        ownershipChangeCount++;
-        set(
-            claims,
-            id,
-            v == null ? null : new Claim(v.path("owner").asText(), v.path("hold").asLong()),
-            stamp);
+        Claim claim =
+            value == null
+                ? null
+                : new Claim(value.path("owner").asText(), value.path("hold").asLong());
+        yield () -> setOwnership(claims, id, claim, stamp);
       }
       case "member" -> {
-        ownershipChangeCount++;
-        set(
-            members,
-            id,
-            v == null
-                ? null
-                : new Member(
-                    v.path("zone").asText(),
-                    v.path("hold").asLong(),
-                    v.path("reaches").asBoolean(true),
-                    v.path("leaving").asBoolean(false)),
-            stamp);
+        Member member = value == null ? null : decodeMember(value);
+        yield () -> setOwnership(members, id, member, stamp);
       }
-      case "rent" -> set(rentals, id, v == null ? null : Records.rental(v), stamp);
-      case "drain" -> {
-        Map<String, Drain> next = new HashMap<>();
-        if (v != null) {
-          v.fields()
-              .forEachRemaining(e -> next.put(e.getKey(), Drain.valueOf(e.getValue().asText())));
-        }
-        for (String name : drainsByPartition.getOrDefault(Partition.parse(id), Map.of()).keySet()) {
-          if (!next.containsKey(name)) {
-            drains.remove(name);
-            changedMachines.add(name);
-          }
-        }
-        next.forEach(
-            (name, drain) -> {
-              if (drains.put(name, drain) != drain) {
-                changedMachines.add(name);
-              }
-            });
-        drainsByPartition.put(Partition.parse(id), next);
+      case "rent" -> {
+        Rental rental = value == null ? null : Records.rental(value);
+        yield () -> set(rentals, id, rental, stamp);
+      }
+      case "drain" -> decodeDrains(Partition.parse(id), value);
+      case "cordon" -> value == null ? () -> cordons.remove(id) : () -> cordons.add(id);
+      case "types" -> {
+        List<MachineType> decoded = value == null ? List.of() : Records.types(value);
+        yield () -> types = decoded;
+      }
+      case "params" -> {
+        SchedulingParameters defaults = SchedulingParameters.DEFAULTS;
+        SchedulingParameters decoded = value == null ? defaults : defaults.merge(value);
+        yield () -> params = decoded;
       }
-      case "cordon" -> {
-        if (v == null) {
-          cordons.remove(id);
-        } else {
-          cordons.add(id);
+      default -> () -> LOG.debug("unknown key {}", key);
+    };
+  }
+
+  private Runnable decodeJob(String id, JsonNode value, long stamp) {
+    Job job = value == null ? null : Records.job(id, value);
+    return () -> {
+      set(jobs, id, job, stamp);
+      updateActive(id);
+      if (job != null && !job.open()) {
+        if (job.state() == Job.State.CANCELLED) {
+          cancellations.addRecorded(id, stamp);
         }
+        markMachinesChanged(id);
+      }
+    };
+  }
+
+  private static Member decodeMember(JsonNode value) {
+    return new Member(
+        value.path("zone").asText(),
+        value.path("hold").asLong(),
+        value.path("reaches").asBoolean(true),
+        value.path("leaving").asBoolean(false));
+  }
+
+  private <T> void setOwnership(Map<String, Entry<T>> map, String key, T value, long stamp) {
+    ownershipChangeCount++;
+    set(map, key, value, stamp);
+  }
+
+  private Runnable decodeMachine(String name, JsonNode value, long stamp) {
+    Machine machine = value == null ? null : Records.machine(name, value, partitionsPerZone);
+    return machine == null
+        ? () -> removeMachine(name, stamp)
+        : () -> putMachine(name, machine, stamp);
+  }
+
+  private void putMachine(String name, Machine decoded, long stamp) {
+    Entry<Machine> old = machines.get(name);
+    Machine machine = decoded.withTasks(tasksOn(name));
+    String condition = condition(machine.partition(), name);
+    if (condition != null) {
+      machine = machine.withCondition(Machine.Condition.valueOf(condition));
+    }
+    for (String image : old == null ? List.<String>of() : old.value().images()) {
+      machine = machine.withImage(image);
+    }
+    set(machines, name, withImages(machine, machine.tasks().keySet()), stamp);
+    machinesByPartition.computeIfAbsent(machine.partition(), k -> new TreeSet<>()).add(name);
+    changedMachines.add(name);
+  }
+
+  private void removeMachine(String name, long stamp) {
+    Entry<Machine> old = machines.get(name);
+    set(machines, name, null, stamp);
+    if (old != null) {
+      machinesByPartition.get(old.value().partition()).remove(name);
+    }
+    changedMachines.add(name);
+  }
+
+  private Runnable decodeDrains(Partition partition, JsonNode value) {
+    Map<String, Drain> next = new HashMap<>();
+    if (value != null) {
+      value
+          .fields()
+          .forEachRemaining(e -> next.put(e.getKey(), Drain.valueOf(e.getValue().asText())));
+    }
+    return () -> drainsChanged(partition, next);
+  }
+
+  private void drainsChanged(Partition partition, Map<String, Drain> next) {
+    for (String name : drains(partition).keySet()) {
+      if (!next.containsKey(name)) {
+        drains.remove(name);
+        changedMachines.add(name);
       }
-      case "types" -> types = v == null ? List.of() : Records.types(v);
-      case "params" ->
-          params =
-              v == null ? SchedulingParameters.DEFAULTS : SchedulingParameters.DEFAULTS.merge(v);
-      default -> LOG.debug("unknown key {}", key);
     }
+    next.forEach(
+        (name, drain) -> {
+          if (drains.put(name, drain) != drain) {
+            changedMachines.add(name);
+          }
+        });
+    drainsByPartition.put(partition, next);
   }
 
   /** Machines of a partition that are being drained. */
@@ -418,32 +473,23 @@
     }
   }
 
-  private void progressChanged(String key, String job, int chunk, JsonNode value, long stamp) {
+  private Runnable decodeProgress(String key, String job, int chunk, JsonNode value, long stamp) {
+    Progress stored = value == null ? null : ProgressCodec.decode(chunk, value);
+    return () -> progressChanged(key, job, chunk, stored, stamp);
+  }
+
+  private void progressChanged(String key, String job, int chunk, Progress stored, long stamp) {
     TreeMap<Integer, Entry<Progress>> chunks = progress.computeIfAbsent(job, k -> new TreeMap<>());
-    Progress next = value == null ? null : ProgressCodec.decode(chunk, value);
     Entry<Progress> old = chunks.get(chunk);
     if (old != null) {
       old.value().live.forEach((i, l) -> tasks.removeGrant(new TaskId(job, i), l));
     }
-    if (next == null) {
+    Progress next = null;
+    if (stored == null) {
       storedProgress.remove(key);
     } else {
-      storedProgress.put(key, next);
-      next = next.copy();
-      for (PageEndedTasks ended : endedTasks.getOrDefault(job, Map.of()).values()) {
-        int from = Progress.firstIndex(chunk);
-        int to = from + Constants.CHUNK_TASKS;
-        for (int i = ended.done().nextSetBit(from);
-            i >= 0 && i < to;
-            i = ended.done().nextSetBit(i + 1)) {
-          next.complete(i);
-        }
-        for (Map.Entry<Integer, Integer> entry : ended.requeued().entrySet()) {
-          if (next.isLive(entry.getKey(), entry.getValue())) {
-            next.requeue(entry.getKey());
-          }
-        }
-      }
+      storedProgress.put(key, stored);
+      next = endedTasks.merge(job, chunk, stored);
       next.live.forEach((i, l) -> grantAdded(new TaskId(job, i), l));
     }
     set(chunks, chunk, next, stamp);
@@ -453,74 +499,43 @@
     updateActive(job);
   }
 
-  private void recordChanged(Partition partition, int page, PartitionRecord next) {
-    PartitionRecord old = pages.put(partition, page, next);
-    for (String machine : old.tasksByMachine().keySet()) {
-      if (!next.tasksByMachine().containsKey(machine)) {
-        // The machine may be on another page now, if the record was split into more pages.
-        tasksChanged(
-            machine,
-            PartitionRecord.tasks(pages.find(partition, r -> r.tasksByMachine().get(machine))));
-      }
-    }
-    next.tasksByMachine()
-        .forEach(
-            (machine, text) -> {
-              if (!text.equals(old.tasksByMachine().get(machine))) {
-                tasksChanged(machine, PartitionRecord.tasks(text));
-              }
-            });
-    Set<String> withCondition = new HashSet<>(old.conditionsByMachine().keySet());
-    withCondition.addAll(next.conditionsByMachine().keySet());
-    for (String machine : withCondition) {
-      String condition = condition(partition, machine);
-      Entry<Machine> entry = machines.get(machine);
-      Machine.Condition nextCondition =
-          condition == null ? Machine.Condition.OK : Machine.Condition.valueOf(condition);
-      if (entry != null && nextCondition != entry.value().condition()) {
-        machines.put(
-            machine, new Entry<>(entry.value().withCondition(nextCondition), entry.stamp()));
-        changedMachines.add(machine);
-      }
+  private Runnable decodePage(Partition partition, int page, JsonNode value) {
+    PartitionRecord next = value == null ? PartitionRecord.EMPTY : Records.partitionRecord(value);
+    PageChange change = PageChange.between(pages.get(partition, page), next);
+    return () -> pageChanged(partition, page, change);
+  }
+
+  private void pageChanged(Partition partition, int page, PageChange change) {
+    pages.put(partition, page, change.next());
+    for (String machine : change.removedMachines()) {
+      // The machine may be on another page now, if the record was split into more pages.
+      tasksChanged(
+          machine,
+          PartitionRecord.tasks(pages.find(partition, r -> r.tasksByMachine().get(machine))));
     }
+    change.tasksByMachine().forEach(this::tasksChanged);
+    change.machinesWithCondition().forEach(machine -> conditionChanged(partition, machine));
     String key = Keys.record(partition, page);
-    Set<String> jobsChanged = new HashSet<>();
-    collectChangedJobs(old.completedByJob(), next.completedByJob(), jobsChanged);
-    collectChangedJobs(old.requeuedByJob(), next.requeuedByJob(), jobsChanged);
-    for (String job : jobsChanged) {
-      BitSet done = new BitSet();
-      PartitionRecord.indexes(next.completedByJob().get(job)).keySet().forEach(done::set);
-      Map<Integer, Integer> requeued = PartitionRecord.indexes(next.requeuedByJob().get(job));
-      if (done.isEmpty() && requeued.isEmpty()) {
-        Map<String, PageEndedTasks> byPage = endedTasks.get(job);
-        if (byPage != null && byPage.remove(key) != null && byPage.isEmpty()) {
-          endedTasks.remove(job);
-        }
-      } else {
-        endedTasks
-            .computeIfAbsent(job, k -> new HashMap<>())
-            .put(key, new PageEndedTasks(done, requeued));
-        done.stream().forEach(i -> taskDone(job, i));
-        requeued.forEach((i, attempt) -> taskRequeued(job, i, attempt));
-      }
-    }
+    change.endedByJob().forEach((job, ended) -> endedTasksChanged(key, job, ended));
   }
 
-  private static void collectChangedJobs(
-      Map<String, String> old, Map<String, String> next, Set<String> jobsChanged) {
-    next.forEach(
-        (job, text) -> {
-          if (!text.equals(old.get(job))) {
-            jobsChanged.add(job);
-          }
-        });
-    for (String job : old.keySet()) {
-      if (!next.containsKey(job)) {
-        jobsChanged.add(job);
-      }
+  private void conditionChanged(Partition partition, String machine) {
+    Entry<Machine> entry = machines.get(machine);
+    String text = condition(partition, machine);
+    Machine.Condition condition =
+        text == null ? Machine.Condition.OK : Machine.Condition.valueOf(text);
+    if (entry != null && condition != entry.value().condition()) {
+      machines.put(machine, new Entry<>(entry.value().withCondition(condition), entry.stamp()));
+      changedMachines.add(machine);
     }
   }
 
+  private void endedTasksChanged(String pageKey, String job, PageChange.EndedTasks ended) {
+    endedTasks.set(job, pageKey, ended);
+    ended.done().stream().forEach(i -> taskDone(job, i));
+    ended.requeued().forEach((i, attempt) -> taskRequeued(job, i, attempt));
+  }
+
   private void taskDone(String job, int index) {
     Progress chunk = progress(job, Progress.chunkOf(index));
     if (chunk != null && !chunk.isDone(index)) {
--- a/src/test/java/org/baygw/control/store/StateCacheTest.java
+++ b/src/test/java/org/baygw/control/store/StateCacheTest.java
@@ -1,19 +1,26 @@
 package org.baygw.control.store;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import com.fasterxml.jackson.databind.JsonNode;
 import com.google.common.collect.MapDifference;
 import com.google.common.collect.Maps;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.TreeSet;
+import org.baygw.control.core.Json;
 import org.baygw.control.model.Machine;
 import org.baygw.control.model.Partition;
 import org.baygw.control.model.TaskId;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
@@ -92,4 +99,29 @@
       }
     }
   }
+
+  /**
+   * Guards against a value that is lost, or applied in part, while its stamp says that it is not.
+   */
+  @Test
+  void undecodableValueKeepsTheFormerOneWithItsStamp() {
+    StateCache cache = new StateCache();
+    Partition partition = new Partition("a", 0);
+    String key = Keys.record(partition, 0);
+    cache.put(key, json("{'on':{'n-1':'run-1:0','n-2':'run-1:1'}}"), 5);
+    cache.put(key, json("{'on':{'n-1':'run-1:2','n-2':'no list of tasks'}}"), 6);
+    assertEquals(Set.of("n-1"), cache.machinesWith(new TaskId("run-1", 0)));
+    assertEquals(Set.of(), cache.machinesWith(new TaskId("run-1", 2)));
+    assertEquals(5, cache.stamp(key));
+    assertTrue(cache.hasUndecodableRecord(partition.toString()));
+
+    cache.put(key, json("{'on':{'n-1':'run-1:2'}}"), 7);
+    assertEquals(Set.of("n-1"), cache.machinesWith(new TaskId("run-1", 2)));
+    assertEquals(7, cache.stamp(key));
+    assertFalse(cache.hasUndecodableRecord(partition.toString()));
+  }
+
+  private static JsonNode json(String text) {
+    return Json.parse(text.replace('\'', '"').getBytes(StandardCharsets.UTF_8));
+  }
 }
