Accept keys of machines before the number of partitions

Cause: found by the property test on the order of keys. A machine's partition follows from the number of partitions; its key threw (division by zero) if it came first, and the machine was missing until its key changed. Change: such a machine is added once the number is known.

--- a/src/main/java/org/baygw/control/store/StateCache.java
+++ b/src/main/java/org/baygw/control/store/StateCache.java
@@ -82,6 +82,9 @@
   /** Partitions per zone; 0 until the number is durable. */
   private int partitionsPerZone;
 
+  /** Additions of machines whose keys arrived before the number of partitions, by name. */
+  private final Map<String, Runnable> machinesBeforeLayout = new LinkedHashMap<>();
+
   /** Progress as stored, by key, without the ended tasks in the partitions' records. */
   private final Map<String, Progress> storedProgress = new HashMap<>();
 
@@ -343,7 +346,7 @@
       case "machine" -> decodeMachine(id, value, stamp);
       case "layout" -> {
         int perZone = value == null ? 0 : value.path("partitions_per_zone").asInt();
-        yield () -> partitionsPerZone = perZone;
+        yield () -> layoutChanged(perZone);
       }
       case "claim" -> {
         Claim claim =
@@ -402,11 +405,23 @@
     set(map, key, value, stamp);
   }
 
+  private void layoutChanged(int perZone) {
+    partitionsPerZone = perZone;
+    if (perZone > 0) {
+      List<Runnable> additions = List.copyOf(machinesBeforeLayout.values());
+      machinesBeforeLayout.clear();
+      additions.forEach(Runnable::run);
+    }
+  }
+
   private Runnable decodeMachine(String name, JsonNode value, long stamp) {
-    Machine machine = value == null ? null : Records.machine(name, value, partitionsPerZone);
-    return machine == null
-        ? () -> removeMachine(name, stamp)
-        : () -> putMachine(name, machine, stamp);
+    if (value == null) {
+      return () -> removeMachine(name, stamp);
+    }
+    Machine machine = Records.machine(name, value, Math.max(1, partitionsPerZone));
+    return partitionsPerZone > 0
+        ? () -> putMachine(name, machine, stamp)
+        : () -> machinesBeforeLayout.put(name, () -> decodeMachine(name, value, stamp).run());
   }
 
   private void putMachine(String name, Machine decoded, long stamp) {
@@ -425,6 +440,7 @@
   }
 
   private void removeMachine(String name, long stamp) {
+    machinesBeforeLayout.remove(name);
     Entry<Machine> old = machines.get(name);
     set(machines, name, null, stamp);
     if (old != null) {
--- a/src/test/java/org/baygw/control/store/StateCacheTest.java
+++ b/src/test/java/org/baygw/control/store/StateCacheTest.java
@@ -41,8 +41,6 @@
   private static void list(StateCache cache, SimulatedRecords records, Random random) {
     List<String> keys = new ArrayList<>(records.items.keySet());
     Collections.shuffle(keys, random);
-    keys.remove(Keys.LAYOUT);
-    keys.add(0, Keys.LAYOUT);
     for (String key : keys) {
       SimulatedRecords.Item item = records.items.get(key);
       cache.put(key, item.value(), item.stamp());
