Apply a listing of all keys as a whole

What callers saw: none reported.

Cause: between two pages, and after the last one until the next watch, the cache had some keys of one revision and some of another, and the controller acted on that mixture: a task whose grant is on one page and whose machine is on the next counts as being on no machine.

Change: while decisions are made from the cache, the newer values are kept until the last page has come; if the pages are of different revisions, the changes since the first one are read, and everything is applied in one step. At start nothing is decided before, so pages are applied as they come.

--- a/src/main/java/org/baygw/control/store/Store.java
+++ b/src/main/java/org/baygw/control/store/Store.java
@@ -1,13 +1,12 @@
 package org.baygw.control.store;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.MissingNode;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Queue;
-import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.HdrHistogram.Histogram;
@@ -50,6 +49,9 @@
 
   private static final Logger LOG = LoggerFactory.getLogger(Store.class);
 
+  /** Keys on a page of a listing. */
+  private static final int LISTING_PAGE_KEYS = 500;
+
   private final Clock clock;
   private final StateCache cache;
   private final RequestQueue queue;
@@ -73,6 +75,9 @@
   private final Queue<RejectedWrite> rejectedWrites = new ArrayDeque<>();
   private long rejectedWriteCount;
 
+  /** Whether the service no longer has all changes since the cache's revision. */
+  private boolean changesLost;
+
   /** When an answer last brought the cache up to date. */
   private long lastUpdate = Long.MIN_VALUE / 2;
 
@@ -134,7 +139,7 @@
     if (!loaded || tooFarBehind()) {
       if (!loading && !watching && !syncing && now >= nextWatch) {
         loading = true;
-        list("", 0, clock.now(), new HashSet<>());
+        requestPage(new Listing(cache, loaded, clock.now()));
       }
     } else if (!loading) {
       if (!watching && now >= nextWatch) {
@@ -165,11 +170,11 @@
 
   /**
    * Whether so much may have changed since the last update of the cache that listing all keys is
-   * cheaper than reading all changes: an answer with the changes of a minute takes longer than the
-   * request's timeout.
+   * cheaper than reading all changes, or the only way: an answer with the changes of a minute takes
+   * longer than the request's timeout.
    */
   private boolean tooFarBehind() {
-    return clock.now() - lastUpdate > Constants.RELIST_AFTER_MS;
+    return changesLost || clock.now() - lastUpdate > Constants.RELIST_AFTER_MS;
   }
 
   /** Sends a conditional write; the outcome is REFUSED if no token is free within waitMs. */
@@ -335,51 +340,75 @@
     }
   }
 
-  private void list(String after, long firstRevision, long startedAt, Set<String> seen) {
-    String path =
-        "/kv?under=" + Keys.ROOT + "&page=500" + (after.isEmpty() ? "" : "&after=" + after);
+  private void requestPage(Listing listing) {
+    String after = listing.lastKey().isEmpty() ? "" : "&after=" + listing.lastKey();
     request(
         Urgency.LEASE,
         "GET",
-        path,
+        "/kv?under=" + Keys.ROOT + "&page=" + LISTING_PAGE_KEYS + after,
         null,
         0,
         Constants.STATE_TIMEOUT_MS,
         Constants.STATE_TIMEOUT_MS * 2L,
         (status, answer) -> {
-          JsonNode response = Json.parse(answer);
-          if (status != 200 || !response.path("ledgerRev").isNumber()) {
-            loading = false;
-            nextWatch = clock.now() + Constants.STATE_RETRY_MS;
-            notifyWaiters(false);
-            return;
+          if (!acceptPage(listing, status, answer)) {
+            listingFailed();
           }
-          long revision = firstRevision == 0 ? response.path("ledgerRev").asLong() : firstRevision;
-          String last = after;
-          for (JsonNode entry : response.path("entries")) {
-            last = entry.path("key").asText();
-            seen.add(last);
-            cache.put(last, entry.path("value"), entry.path("stamp").asLong());
-          }
-          if (response.path("more").asBoolean()) {
-            list(last, revision, startedAt, seen);
+        });
+  }
+
+  private boolean acceptPage(Listing listing, int status, byte[] answer) {
+    if (status != 200 || !listing.addPage(Json.parse(answer))) {
+      return false;
+    }
+    if (!listing.complete()) {
+      requestPage(listing);
+    } else if (listing.consistent()) {
+      listing.apply();
+      listingApplied(listing);
+    } else {
+      requestMissedChanges(listing);
+    }
+    return true;
+  }
+
+  /** Requests the changes since the listing's first page, which later pages may include or not. */
+  private void requestMissedChanges(Listing listing) {
+    request(
+        Urgency.LEASE,
+        "GET",
+        watchPath(listing.firstRevision(), 0),
+        null,
+        0,
+        Constants.STATE_TIMEOUT_MS,
+        Constants.STATE_TIMEOUT_MS * 2L,
+        (status, answer) -> {
+          JsonNode response = status == 200 ? Json.parse(answer) : MissingNode.getInstance();
+          if (!response.path("ledgerRev").isNumber()) {
+            listingFailed();
             return;
           }
-          // A known key that is not listed was deleted during a gap in the watch.
-          for (String key : cache.keys()) {
-            if (!seen.contains(key) && cache.stamp(key) <= revision) {
-              cache.delete(key, revision);
-            }
-          }
-          cache.advanceTo(revision);
-          loading = false;
-          loaded = true;
-          lastUpdate = clock.now();
-          currentAsOf = Math.max(currentAsOf, startedAt);
-          LOG.info("read {} keys at revision {}", seen.size(), revision);
+          listing.apply();
+          applyEvents(response);
+          listingApplied(listing);
         });
   }
 
+  private void listingApplied(Listing listing) {
+    loading = false;
+    loaded = true;
+    changesLost = false;
+    lastUpdate = clock.now();
+    currentAsOf = Math.max(currentAsOf, listing.startedAt());
+    LOG.info("read {} keys at revision {}", listing.keyCount(), cache.revision());
+  }
+
+  private void listingFailed() {
+    loading = false;
+    nextWatch = clock.now() + Constants.STATE_RETRY_MS;
+    notifyWaiters(false);
+  }
+
   private void notifyWaiters(boolean ok) {
     takeWaiters().forEach(w -> w.accept(ok));
   }
@@ -425,25 +454,36 @@
     long sentAt = clock.now();
     queue.send(
         "GET",
-        "/watch?under=" + Keys.ROOT + "&after=" + cache.revision() + "&waitMs=" + waitMs,
+        watchPath(cache.revision(), waitMs),
         null,
         waitMs > 0 ? waitMs + 2L * Constants.STATE_TIMEOUT_MS : Constants.STATE_TIMEOUT_MS,
         (status, answer) -> {
-          boolean ok = applyEvents(sentAt, status, answer);
+          boolean ok = acceptChanges(sentAt, status, answer);
           callback.accept(ok);
           waiters.forEach(w -> w.accept(ok));
         });
   }
 
-  private boolean applyEvents(long sentAt, int status, byte[] answer) {
+  private static String watchPath(long afterRevision, long waitMs) {
+    return "/watch?under=" + Keys.ROOT + "&after=" + afterRevision + "&waitMs=" + waitMs;
+  }
+
+  private boolean acceptChanges(long sentAt, int status, byte[] answer) {
     if (status == 410) {
-      lastUpdate = Long.MIN_VALUE / 2; // the service no longer has these changes: list all keys
+      changesLost = true;
       return false;
     }
-    JsonNode response = status == 200 ? Json.parse(answer) : null;
-    if (response == null || !response.path("ledgerRev").isNumber()) {
+    JsonNode response = status == 200 ? Json.parse(answer) : MissingNode.getInstance();
+    if (!response.path("ledgerRev").isNumber()) {
       return false;
     }
+    applyEvents(response);
+    lastUpdate = clock.now();
+    currentAsOf = Math.max(currentAsOf, sentAt);
+    return true;
+  }
+
+  private void applyEvents(JsonNode response) {
     for (JsonNode event : response.path("events")) {
       long stamp = event.path("stamp").asLong();
       if (stamp <= cache.revision()) {
@@ -456,8 +496,5 @@
       }
     }
     cache.advanceTo(response.path("ledgerRev").asLong());
-    lastUpdate = clock.now();
-    currentAsOf = Math.max(currentAsOf, sentAt);
-    return true;
   }
 }
--- a/src/test/java/org/baygw/control/store/StoreTest.java
+++ b/src/test/java/org/baygw/control/store/StoreTest.java
@@ -6,21 +6,25 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
 import org.baygw.control.Constants;
 import org.baygw.control.config.Settings;
 import org.baygw.control.core.Clock;
 import org.baygw.control.core.Json;
 import org.baygw.control.core.Outbox;
+import org.baygw.control.model.Partition;
+import org.baygw.control.model.TaskId;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
-/** Conditional writes that the state service rejects. */
+/** Conditional writes that are rejected, and readings of the state. */
 final class StoreTest {
   private static final String KEY = "b/prog/run-1/0";
 
   private final Clock clock = new Clock();
   private final Outbox out = new Outbox();
   private final List<Boolean> outcomes = new ArrayList<>();
+  private final StateCache cache = new StateCache();
   private Store store;
   private int sentWrites;
 
@@ -43,7 +47,7 @@
             new Settings.StateLimits(1_000, 1_000, 8, 16),
             new Settings.CloudLimits(10, 3),
             new Settings.Resources(1, 1_000));
-    store = new Store(clock, out, settings, new StateCache());
+    store = new Store(clock, out, settings, cache);
   }
 
   /**
@@ -98,4 +102,45 @@
     assertTrue(!outcomes.isEmpty(), "the sender was not told");
     assertTrue(sentWrites <= 4, sentWrites + " writes");
   }
+
+  /** Ticks until the store reads from the state service, and returns the request. */
+  private Outbox.Call nextRead() {
+    for (int i = 0; i < 100; i++) {
+      clock.set(clock.now() + Constants.TICK_MS, 0);
+      store.tick();
+      for (Outbox.Effect effect : out.drain()) {
+        return (Outbox.Call) effect;
+      }
+    }
+    throw new IllegalStateException("the store reads nothing");
+  }
+
+  private static void answer(Outbox.Call read, int status, String body) {
+    read.callback().done(status, body.replace('\'', '"').getBytes(StandardCharsets.UTF_8));
+  }
+
+  /** Guards against decisions from a listing of which only some pages have arrived. */
+  @Test
+  void listingIsAppliedAsAWhole() {
+    Partition partition = new Partition("a", 0);
+    TaskId task = new TaskId("run-1", 0);
+    answer(nextRead(), 200, "{'ledgerRev':1,'entries':[],'more':false}");
+    answer(nextRead(), 410, "{}");
+    String grant = "{'key':'b/prog/run-1/0','value':{'live':[[0,1,'a.0']]},'stamp':5}";
+    answer(nextRead(), 200, "{'ledgerRev':5,'entries':[" + grant + "],'more':true}");
+    assertEquals(
+        Set.of(), cache.unplaced(partition), "the page with the task's machine is missing");
+
+    String value = "'value':{'on':{'n-000001':'run-1:0'}},'stamp':6}";
+    String page = "{'key':'b/run/a.0'," + value;
+    answer(nextRead(), 200, "{'ledgerRev':7,'entries':[" + page + "],'more':false}");
+    assertEquals(0, cache.stamp("b/run/a.0"), "changes between the pages are missing");
+
+    Outbox.Call missedChanges = nextRead();
+    assertTrue(missedChanges.path().contains("after=5&"), missedChanges.path());
+    answer(missedChanges, 200, "{'ledgerRev':8,'events':[{'write':'b/run/a.0'," + value + "]}");
+    assertEquals(Set.of(), cache.unplaced(partition));
+    assertEquals(Set.of("n-000001"), cache.machinesWith(task));
+    assertEquals(8, cache.revision());
+  }
 }
