Contain a failure to the part of an input in which it happens

Cause: an exception ended the whole input. A callback that failed kept those after it from running: waiters for the cache with flags of their own (a write in progress, a claim in flight), and the part of a read's callback that resets "watching", "syncing" or "loading". A tick ended with the first part that failed, a request got no answer, the effects after one that could not be carried out were dropped, and an Error ended the timer.

Change: ErrorBoundary runs each waiter, each callback of the state service's client, each part of a tick and each request by itself; the read's flag is reset in any case and the read starts again after STATE_RETRY_MS; a failed request is answered with 500. The event loop carries out each effect by itself and schedules its timer in any case; the HTTP client sets a call's timeout before anything that may fail. Flags elsewhere (searched: InFlight, writing, queued, probing) are reset first in their callbacks, which now always run.

Tests: scenarios fail if an input fails.

--- a/src/main/java/org/baygw/control/Controller.java
+++ b/src/main/java/org/baygw/control/Controller.java
@@ -1,11 +1,14 @@
 package org.baygw.control;
 
+import java.util.ArrayList;
 import java.util.List;
 import org.baygw.control.admin.Admin;
 import org.baygw.control.cloud.Cloud;
 import org.baygw.control.config.Features;
 import org.baygw.control.config.Settings;
 import org.baygw.control.core.Clock;
+import org.baygw.control.core.ErrorBoundary;
+import org.baygw.control.core.FailureCounters;
 import org.baygw.control.core.Json;
 import org.baygw.control.core.Outbox;
 import org.baygw.control.core.Replication;
@@ -28,7 +31,8 @@
 public final class Controller {
   private final Clock clock = new Clock();
   private final Outbox outbox = new Outbox();
-  private final StateCache cache = new StateCache();
+  private final StateCache cache;
+  private final ErrorBoundary boundary;
   private final Store store;
   private final Membership membership;
   private final Peers peers;
@@ -42,8 +46,24 @@
   /** Warm standby; null if it is disabled, so that none of its classes is loaded. */
   private final StandbyService standby;
 
-  public Controller(Settings settings, Features features) {
-    this.store = new Store(clock, outbox, settings, cache);
+  /** The parts that act on the passing of time, in this order. */
+  private final List<TimedPart> timedParts;
+
+  private record TimedPart(String operation, Runnable tick) {}
+
+  /**
+   * Creates the core of a controller.
+   *
+   * @param failures counters of the process, which outlive this core
+   */
+  public Controller(Settings settings, Features features, FailureCounters failures) {
+    this(settings, features, failures, new StateCache());
+  }
+
+  Controller(Settings settings, Features features, FailureCounters failures, StateCache cache) {
+    this.cache = cache;
+    this.boundary = new ErrorBoundary(clock, failures);
+    this.store = new Store(clock, outbox, settings, cache, boundary);
     boolean standbyIsOn = features.standby() != null;
     this.membership = new Membership(clock, settings, store, cache, standbyIsOn);
     this.standby =
@@ -63,7 +83,34 @@
     this.fleet =
         new Fleet(clock, settings, store, cache, membership, cloud, scheduler, replication);
     this.admin =
-        new Admin(clock, outbox, settings, store, cache, membership, workers, scheduler, standby);
+        new Admin(
+            clock,
+            outbox,
+            settings,
+            store,
+            cache,
+            membership,
+            workers,
+            scheduler,
+            standby,
+            failures);
+    this.timedParts = timedParts();
+  }
+
+  private List<TimedPart> timedParts() {
+    List<TimedPart> parts = new ArrayList<>();
+    parts.add(new TimedPart("a tick of the state service's client", store::tick));
+    parts.add(new TimedPart("a tick of the membership", membership::tick));
+    parts.add(new TimedPart("a tick of the contact with peers", peers::tick));
+    if (standby != null) {
+      parts.add(new TimedPart("a tick of warm standby", standby::tick));
+    }
+    parts.add(new TimedPart("a tick of the scheduler", scheduler::tick));
+    parts.add(new TimedPart("a tick of the workers' owner", workers::tick));
+    parts.add(new TimedPart("a consolidation round", workers::round));
+    parts.add(new TimedPart("a tick of the fleet", fleet::tick));
+    parts.add(new TimedPart("a tick of the cloud's client", cloud::tick));
+    return parts;
   }
 
   /**
@@ -89,7 +136,7 @@
   private void beginInput(long nowMs, long wallMs) {
     clock.set(nowMs, wallMs);
     if (standby != null) {
-      standby.onInput(nowMs);
+      boundary.run("noting an input's time", () -> standby.onInput(nowMs));
     }
   }
 
@@ -97,6 +144,10 @@
   public List<Outbox.Effect> request(
       long nowMs, long wallMs, long requestId, String method, String path, byte[] body) {
     beginInput(nowMs, wallMs);
+    return answerRequest(requestId, () -> userRequest(requestId, method, path, body));
+  }
+
+  private void userRequest(long requestId, String method, String path, byte[] body) {
     if (path.equals("/checkin")) {
       if (method.equals("POST")) {
         workers.checkin(requestId, body);
@@ -106,22 +157,32 @@
     } else if (!jobs.handle(requestId, method, path, body)) {
       outbox.answer(requestId, 404, Json.bytes(Json.object().put("error", "no such path")));
     }
-    return outbox.drain();
   }
 
   /** Handles a request on the port for operators and other controllers. */
   public List<Outbox.Effect> peerRequest(
       long nowMs, long wallMs, long requestId, String method, String path, byte[] body) {
     beginInput(nowMs, wallMs);
+    return answerRequest(requestId, () -> internalRequest(requestId, method, path, body));
+  }
+
+  private void internalRequest(long requestId, String method, String path, byte[] body) {
     if (path.equals(Peers.PATH) && method.equals("POST")) {
       peers.receive(requestId, body);
     } else if (standby != null && path.equals(StandbyService.PATH) && method.equals("POST")) {
       standby.receive(requestId, body);
     } else if (standby != null && standby.handle(requestId, method, path)) {
-      return outbox.drain();
+      return;
     } else if (!admin.handle(requestId, method, path, body)) {
       outbox.answer(requestId, 404, Json.bytes(Json.object().put("error", "no such path")));
     }
+  }
+
+  /** Runs a request's handler; one that fails is answered with 500, unless it was answered. */
+  private List<Outbox.Effect> answerRequest(long requestId, Runnable handler) {
+    if (!boundary.run("a request", handler)) {
+      outbox.answer(requestId, 500, Json.bytes(Json.object().put("error", "internal error")));
+    }
     return outbox.drain();
   }
 
@@ -129,24 +190,14 @@
   public List<Outbox.Effect> outcome(
       long nowMs, long wallMs, Outbox.Callback callback, int status, byte[] body) {
     beginInput(nowMs, wallMs);
-    callback.done(status, body);
+    boundary.run("the callback of a call", () -> callback.done(status, body));
     return outbox.drain();
   }
 
   /** Handles the passing of time and the outcomes received since the last tick. */
   public List<Outbox.Effect> tick(long nowMs, long wallMs) {
     beginInput(nowMs, wallMs);
-    store.tick();
-    membership.tick();
-    peers.tick();
-    if (standby != null) {
-      standby.tick();
-    }
-    scheduler.tick();
-    workers.tick();
-    workers.round();
-    fleet.tick();
-    cloud.tick();
+    timedParts.forEach(part -> boundary.run(part.operation(), part.tick()));
     return outbox.drain();
   }
 }
--- a/src/main/java/org/baygw/control/admin/Admin.java
+++ b/src/main/java/org/baygw/control/admin/Admin.java
@@ -9,6 +9,7 @@
 import org.baygw.control.Constants;
 import org.baygw.control.config.Settings;
 import org.baygw.control.core.Clock;
+import org.baygw.control.core.FailureCounters;
 import org.baygw.control.core.Json;
 import org.baygw.control.core.Outbox;
 import org.baygw.control.membership.Membership;
@@ -40,6 +41,7 @@
   private final Workers workers;
   private final Scheduler scheduler;
   private final StandbyService standby;
+  private final FailureCounters failures;
   private Metrics metrics;
 
   public Admin(
@@ -51,7 +53,9 @@
       Membership membership,
       Workers workers,
       Scheduler scheduler,
-      StandbyService standby) {
+      StandbyService standby,
+      FailureCounters failures) {
+    this.failures = failures;
     this.clock = clock;
     this.out = out;
     this.settings = settings;
@@ -243,6 +247,16 @@
           "Conditional writes rejected as malformed or too large",
           store,
           Store::rejectedWriteCount);
+      metrics.counter(
+          "baygw.inputs.failed",
+          "Inputs, or parts of them, that ended with an exception",
+          failures,
+          FailureCounters::failedInputs);
+      metrics.gauge(
+          "baygw.values.undecodable",
+          "Keys whose latest value cannot be decoded",
+          cache,
+          StateCache::undecodableCount);
       registerMessageCounters(workers.messageCounters());
       if (standby != null) {
         standby.register(metrics);
--- a/src/main/java/org/baygw/control/net/EventLoop.java
+++ b/src/main/java/org/baygw/control/net/EventLoop.java
@@ -33,6 +33,7 @@
 import org.baygw.control.Controller;
 import org.baygw.control.config.Features;
 import org.baygw.control.config.Settings;
+import org.baygw.control.core.FailureCounters;
 import org.baygw.control.core.Outbox;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -52,6 +53,7 @@
   private record Pending(Channel channel, boolean keepAlive) {}
 
   private final Settings settings;
+  private final FailureCounters failures = new FailureCounters();
   private final Controller core;
   private final EventLoopGroup loop;
   private final HttpClient client;
@@ -62,7 +64,7 @@
 
   public EventLoop(Settings settings, Features features) {
     this.settings = settings;
-    this.core = new Controller(settings, features);
+    this.core = new Controller(settings, features, failures);
     this.loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     this.client = new HttpClient(loop);
   }
@@ -76,11 +78,15 @@
 
   /** Runs a tick of the core if one is due, and schedules itself for when the next one is due. */
   private void onTimer() {
-    if (now() - lastTickMs >= settings.tickMs()) {
-      runTick();
+    try {
+      if (now() - lastTickMs >= settings.tickMs()) {
+        runTick();
+      }
+    } finally {
+      // Also after an error, such as an exhausted stack: without the timer the core would stop.
+      long left = Math.max(1, lastTickMs + settings.tickMs() - now());
+      loop.next().schedule(this::onTimer, left, TimeUnit.MILLISECONDS);
     }
-    long left = Math.max(1, lastTickMs + settings.tickMs() - now());
-    loop.next().schedule(this::onTimer, left, TimeUnit.MILLISECONDS);
   }
 
   private void runTick() {
@@ -203,16 +209,21 @@
 
   private void emit(List<Outbox.Effect> effects, long decidedAt) {
     for (Outbox.Effect effect : effects) {
-      if (effect instanceof Outbox.Call call) {
-        if (call.carriesOrders() && core.withholdsOrders(decidedAt, now())) {
-          loop.next().execute(() -> finish(call, Outbox.NOT_SENT, NO_BODY));
-        } else {
-          client.call(call, (status, body) -> finish(call, status, body));
-        }
-      } else if (effect instanceof Outbox.Answer answer) {
-        boolean withheld = answer.carriesOrders() && core.withholdsOrders(decidedAt, now());
-        answer(withheld ? Outbox.Answer.withheld(answer.requestId()) : answer);
+      // One that fails must not keep the others from being carried out.
+      safely(() -> emit(effect, decidedAt));
+    }
+  }
+
+  private void emit(Outbox.Effect effect, long decidedAt) {
+    if (effect instanceof Outbox.Call call) {
+      if (call.carriesOrders() && core.withholdsOrders(decidedAt, now())) {
+        loop.next().execute(() -> finish(call, Outbox.NOT_SENT, NO_BODY));
+      } else {
+        client.call(call, (status, body) -> finish(call, status, body));
       }
+    } else if (effect instanceof Outbox.Answer answer) {
+      boolean withheld = answer.carriesOrders() && core.withholdsOrders(decidedAt, now());
+      answer(withheld ? Outbox.Answer.withheld(answer.requestId()) : answer);
     }
   }
 
--- a/src/main/java/org/baygw/control/net/HttpClient.java
+++ b/src/main/java/org/baygw/control/net/HttpClient.java
@@ -115,6 +115,17 @@
 
     void send(Outbox.Call call, ResponseCallback callback) {
       pendingCallback = callback;
+      // Before anything that may fail, so that the callback runs in any case.
+      timeout =
+          channel
+              .eventLoop()
+              .schedule(
+                  () -> {
+                    channel.close();
+                    finish(Outbox.NO_ANSWER, NO_BODY);
+                  },
+                  call.timeoutMs(),
+                  TimeUnit.MILLISECONDS);
       byte[] body = call.body() == null ? NO_BODY : call.body();
       DefaultFullHttpRequest request =
           new DefaultFullHttpRequest(
@@ -127,16 +138,6 @@
         request.headers().set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.APPLICATION_JSON);
         HttpUtil.setContentLength(request, body.length);
       }
-      timeout =
-          channel
-              .eventLoop()
-              .schedule(
-                  () -> {
-                    channel.close();
-                    finish(Outbox.NO_ANSWER, NO_BODY);
-                  },
-                  call.timeoutMs(),
-                  TimeUnit.MILLISECONDS);
       channel.writeAndFlush(request);
     }
 
--- a/src/main/java/org/baygw/control/store/RequestQueue.java
+++ b/src/main/java/org/baygw/control/store/RequestQueue.java
@@ -9,11 +9,10 @@
 import org.baygw.control.Constants;
 import org.baygw.control.config.Settings;
 import org.baygw.control.core.Clock;
+import org.baygw.control.core.ErrorBoundary;
 import org.baygw.control.core.Json;
 import org.baygw.control.core.Outbox;
 import org.baygw.control.core.TokenBucket;
-import org.slf4j.Logger;
-import org.slf4j.LoggerFactory;
 
 /**
  * Queue of requests to the state service. Requests wait for tokens from this controller's share of
@@ -21,7 +20,6 @@
  * more urgent one waits for.
  */
 final class RequestQueue {
-  private static final Logger LOG = LoggerFactory.getLogger(RequestQueue.class);
   private static final byte[] NO_BODY = new byte[0];
 
   /** A request waiting for tokens. */
@@ -50,12 +48,14 @@
   private final Clock clock;
   private final Outbox out;
   private final Settings settings;
+  private final ErrorBoundary boundary;
   private final TokenBucket requestTokens = new TokenBucket(1, 1);
   private final TokenBucket writeTokens = new TokenBucket(1, 1);
   private final List<Deque<QueuedRequest>> queues = new ArrayList<>();
   private long lastContact = Long.MIN_VALUE / 2;
 
-  RequestQueue(Clock clock, Outbox out, Settings settings) {
+  RequestQueue(Clock clock, Outbox out, Settings settings, ErrorBoundary boundary) {
+    this.boundary = boundary;
     this.clock = clock;
     this.out = out;
     this.settings = settings;
@@ -142,7 +142,7 @@
     QueuedRequest first = queue.peek();
     if (now > first.deadline()) {
       queue.poll();
-      first.callback().done(Outbox.NOT_SENT, NO_BODY);
+      notSent(first);
       return true;
     }
     if (first instanceof DeferredWrite deferred) {
@@ -166,7 +166,7 @@
   private void buildAndSend(DeferredWrite deferred) {
     Txn txn = build(deferred);
     if (txn == null) {
-      deferred.callback().done(Outbox.NOT_SENT, NO_BODY);
+      notSent(deferred);
     } else {
       writeTokens.charge(txn.writeCount());
       requestTokens.charge(1);
@@ -174,14 +174,18 @@
     }
   }
 
+  /** The callback runs within another caller's request, which must not fail with it. */
+  private void notSent(QueuedRequest request) {
+    boundary.run(
+        "the callback of a request that was not sent",
+        () -> request.callback().done(Outbox.NOT_SENT, NO_BODY));
+  }
+
   /** Builds the write; null on an exception too, so that the callback still runs. */
-  private static Txn build(DeferredWrite deferred) {
-    try {
-      return deferred.builder().get();
-    } catch (RuntimeException e) {
-      LOG.error("failed to build a deferred write", e);
-      return null;
-    }
+  private Txn build(DeferredWrite deferred) {
+    Txn[] txn = new Txn[1];
+    boundary.run("building a deferred write", () -> txn[0] = deferred.builder().get());
+    return txn[0];
   }
 
   /** Sends a conditional write at once. */
--- a/src/main/java/org/baygw/control/store/Store.java
+++ b/src/main/java/org/baygw/control/store/Store.java
@@ -13,6 +13,7 @@
 import org.baygw.control.Constants;
 import org.baygw.control.config.Settings;
 import org.baygw.control.core.Clock;
+import org.baygw.control.core.ErrorBoundary;
 import org.baygw.control.core.Json;
 import org.baygw.control.core.Outbox;
 import org.slf4j.Logger;
@@ -54,6 +55,7 @@
 
   private final Clock clock;
   private final StateCache cache;
+  private final ErrorBoundary boundary;
   private final RequestQueue queue;
   private final long watchWaitMs;
   private final long watchIntervalMs;
@@ -84,10 +86,12 @@
   /** Send time of the latest request whose answer brought the cache up to date. */
   private long currentAsOf = Long.MIN_VALUE / 2;
 
-  public Store(Clock clock, Outbox out, Settings settings, StateCache cache) {
+  public Store(
+      Clock clock, Outbox out, Settings settings, StateCache cache, ErrorBoundary boundary) {
     this.clock = clock;
     this.cache = cache;
-    this.queue = new RequestQueue(clock, out, settings);
+    this.boundary = boundary;
+    this.queue = new RequestQueue(clock, out, settings, boundary);
     double controllers = settings.peers().size() + 1;
     this.watchWaitMs = settings.workers().watermarkPeriodMs(Constants.WATCH_WAIT_MS);
     this.watchIntervalMs =
@@ -134,7 +138,7 @@
   public void tick() {
     long now = clock.now();
     while (!rejectedWrites.isEmpty() && rejectedWrites.peek().callbackAt() <= now) {
-      rejectedWrites.poll().callback().run();
+      boundary.run("the callback of a rejected write", rejectedWrites.poll().callback());
     }
     if (!loaded || tooFarBehind()) {
       if (!loading && !watching && !syncing && now >= nextWatch) {
@@ -195,16 +199,7 @@
       Txn txn, long requestedAt, int status, byte[] answer, Consumer<Outcome> callback) {
     writeMs.recordValue(Math.min(clock.now() - requestedAt, Constants.HISTOGRAM_MAX_MS));
     if (status == 200) {
-      long revision = Json.parse(answer).path("ledgerRev").asLong();
-      // Apply the write at once. The watch repeats it later with the same stamp, without effect.
-      txn.changes.forEach(
-          (key, change) -> {
-            if (change.value() == null) {
-              cache.delete(key, revision);
-            } else {
-              cache.put(key, change.value(), revision);
-            }
-          });
+      boundary.run("applying a write", () -> applyWrite(txn, answer));
       callback.accept(Outcome.OK);
     } else if (status == 409) {
       refresh();
@@ -226,6 +221,19 @@
     }
   }
 
+  /** Applies a write at once; the watch repeats it later with the same stamp, without effect. */
+  private void applyWrite(Txn txn, byte[] answer) {
+    long revision = Json.parse(answer).path("ledgerRev").asLong();
+    txn.changes.forEach(
+        (key, change) -> {
+          if (change.value() == null) {
+            cache.delete(key, revision);
+          } else {
+            cache.put(key, change.value(), revision);
+          }
+        });
+  }
+
   /**
    * Sends a conditional write until its outcome is certain; the callback gets whether it succeeded.
    * A write without an answer may still be carried out later, so its sender must not treat it as
@@ -351,7 +359,7 @@
         Constants.STATE_TIMEOUT_MS,
         Constants.STATE_TIMEOUT_MS * 2L,
         (status, answer) -> {
-          if (!acceptPage(listing, status, answer)) {
+          if (!boundary.check("reading keys", () -> acceptPage(listing, status, answer))) {
             listingFailed();
           }
         });
@@ -383,17 +391,23 @@
         Constants.STATE_TIMEOUT_MS,
         Constants.STATE_TIMEOUT_MS * 2L,
         (status, answer) -> {
-          JsonNode response = status == 200 ? Json.parse(answer) : MissingNode.getInstance();
-          if (!response.path("ledgerRev").isNumber()) {
+          if (!boundary.check("reading keys", () -> acceptMissedChanges(listing, status, answer))) {
             listingFailed();
-            return;
           }
-          listing.apply();
-          applyEvents(response);
-          listingApplied(listing);
         });
   }
 
+  private boolean acceptMissedChanges(Listing listing, int status, byte[] answer) {
+    JsonNode response = status == 200 ? Json.parse(answer) : MissingNode.getInstance();
+    if (!response.path("ledgerRev").isNumber()) {
+      return false;
+    }
+    listing.apply();
+    applyEvents(response);
+    listingApplied(listing);
+    return true;
+  }
+
   private void listingApplied(Listing listing) {
     loading = false;
     loaded = true;
@@ -406,11 +420,13 @@
   private void listingFailed() {
     loading = false;
     nextWatch = clock.now() + Constants.STATE_RETRY_MS;
-    notifyWaiters(false);
+    notifyWaiters(takeWaiters(), false);
   }
 
-  private void notifyWaiters(boolean ok) {
-    takeWaiters().forEach(w -> w.accept(ok));
+  private void notifyWaiters(List<Consumer<Boolean>> waiters, boolean ok) {
+    for (Consumer<Boolean> waiter : waiters) {
+      boundary.run("a caller that waited for the cache", () -> waiter.accept(ok));
+    }
   }
 
   private List<Consumer<Boolean>> takeWaiters() {
@@ -458,9 +474,10 @@
         null,
         waitMs > 0 ? waitMs + 2L * Constants.STATE_TIMEOUT_MS : Constants.STATE_TIMEOUT_MS,
         (status, answer) -> {
-          boolean ok = acceptChanges(sentAt, status, answer);
+          boolean ok =
+              boundary.check("reading changes", () -> acceptChanges(sentAt, status, answer));
           callback.accept(ok);
-          waiters.forEach(w -> w.accept(ok));
+          notifyWaiters(waiters, ok);
         });
   }
 
--- a/src/test/java/org/baygw/control/sim/Scenario.java
+++ b/src/test/java/org/baygw/control/sim/Scenario.java
@@ -167,6 +167,11 @@
     if (cluster.cloud.firstLimitViolation != null) {
       failures.add("over a limit of the cloud: " + cluster.cloud.firstLimitViolation);
     }
+    for (SimulatedCluster.Node node : cluster.nodes.values()) {
+      if (node.failures.failedInputs() > 0) {
+        failures.add(node.label + ": " + node.failures.failedInputs() + " inputs failed");
+      }
+    }
     if (!expected.expectsViolation() && !cluster.checker.violations.isEmpty()) {
       failures.add("broken: " + cluster.checker.violations);
     }
--- a/src/test/java/org/baygw/control/sim/SimulatedCluster.java
+++ b/src/test/java/org/baygw/control/sim/SimulatedCluster.java
@@ -14,6 +14,7 @@
 import org.baygw.control.Controller;
 import org.baygw.control.config.Features;
 import org.baygw.control.config.Settings;
+import org.baygw.control.core.FailureCounters;
 import org.baygw.control.core.Json;
 import org.baygw.control.core.Outbox;
 import org.baygw.control.model.Partition;
@@ -138,6 +139,7 @@
     private boolean stepScheduled;
     private long lastStep;
     private Settings settings;
+    final FailureCounters failures = new FailureCounters();
     private long requests;
     private final Map<Long, StateServiceStub.ResponseCallback> pending = new HashMap<>();
 
@@ -162,7 +164,7 @@
       stepScheduled = false;
       pending.clear();
       settings = settingsOf(this);
-      core = new Controller(settings, features);
+      core = new Controller(settings, features, failures);
       int startedAs = incarnation;
       scheduleTick(startedAs);
     }
--- a/src/test/java/org/baygw/control/store/StoreTest.java
+++ b/src/test/java/org/baygw/control/store/StoreTest.java
@@ -10,6 +10,8 @@
 import org.baygw.control.Constants;
 import org.baygw.control.config.Settings;
 import org.baygw.control.core.Clock;
+import org.baygw.control.core.ErrorBoundary;
+import org.baygw.control.core.FailureCounters;
 import org.baygw.control.core.Json;
 import org.baygw.control.core.Outbox;
 import org.baygw.control.model.Partition;
@@ -25,6 +27,7 @@
   private final Outbox out = new Outbox();
   private final List<Boolean> outcomes = new ArrayList<>();
   private final StateCache cache = new StateCache();
+  private final FailureCounters failures = new FailureCounters();
   private Store store;
   private int sentWrites;
 
@@ -47,7 +50,7 @@
             new Settings.StateLimits(1_000, 1_000, 8, 16),
             new Settings.CloudLimits(10, 3),
             new Settings.Resources(1, 1_000));
-    store = new Store(clock, out, settings, cache);
+    store = new Store(clock, out, settings, cache, new ErrorBoundary(clock, failures));
   }
 
   /**
@@ -103,6 +106,23 @@
     assertTrue(sentWrites <= 4, sentWrites + " writes");
   }
 
+  /** Guards against a store that reads nothing any more after a caller's callback has failed. */
+  @Test
+  void failedCallbackLeavesNoFlagSet() {
+    List<Boolean> told = new ArrayList<>();
+    runFor(Constants.TICK_MS, 200);
+    for (int i = 0; i < 2; i++) {
+      store.whenCurrent(
+          ok -> {
+            throw new IllegalStateException("a callback that fails");
+          });
+      store.whenCurrent(told::add);
+      runFor(10 * Constants.WATCH_INTERVAL_MIN_MS, 200);
+    }
+    assertEquals(List.of(true, true), told);
+    assertEquals(2, failures.failedInputs());
+  }
+
   /** Ticks until the store reads from the state service, and returns the request. */
   private Outbox.Call nextRead() {
     for (int i = 0; i < 100; i++) {
