Replace a core whose state cannot be relied on, as if it had been restarted

Cause: nothing related the lease to what the controller knows. A cache of which a change failed half-way, or which no read brings up to date, was acted upon for as long as the process lived.

Change: when a change of the cache fails half-way, nothing that the input decided is sent, and the event loop replaces the core by a new one without memory, which ends the old membership lease and joins only once it has read all keys. The same if the state service answers other requests but no read succeeds for 30 s; after 10 s /up says 503. In an outage nothing is answered, so roles stay; a freeze does not count. Giving up partitions alone was weighed: leader and users rely on the same indexes. Ending the process does the same, slower. Logged; counter baygw.cores.replaced.

--- a/src/main/java/org/baygw/control/Controller.java
+++ b/src/main/java/org/baygw/control/Controller.java
@@ -12,6 +12,7 @@
 import org.baygw.control.core.Json;
 import org.baygw.control.core.Outbox;
 import org.baygw.control.core.Replication;
+import org.baygw.control.core.RestartReason;
 import org.baygw.control.fleet.Fleet;
 import org.baygw.control.jobs.Jobs;
 import org.baygw.control.membership.CancellationWatermark;
@@ -51,6 +52,8 @@
 
   private record TimedPart(String operation, Runnable tick) {}
 
+  private RestartReason restartReason;
+
   /**
    * Creates the core of a controller.
    *
@@ -133,6 +136,14 @@
     return standby == null || standby.shutdownComplete();
   }
 
+  /**
+   * Why this core must be replaced by a new one; null while it can go on. The new core ends the
+   * membership lease of this one, so that its roles become free, and reads all keys.
+   */
+  public RestartReason restartReason() {
+    return restartReason;
+  }
+
   private void beginInput(long nowMs, long wallMs) {
     clock.set(nowMs, wallMs);
     if (standby != null) {
@@ -183,7 +194,7 @@
     if (!boundary.run("a request", handler)) {
       outbox.answer(requestId, 500, Json.bytes(Json.object().put("error", "internal error")));
     }
-    return outbox.drain();
+    return endInput();
   }
 
   /** Handles the outcome of a call that the core issued; a tick should follow soon. */
@@ -191,13 +202,26 @@
       long nowMs, long wallMs, Outbox.Callback callback, int status, byte[] body) {
     beginInput(nowMs, wallMs);
     boundary.run("the callback of a call", () -> callback.done(status, body));
-    return outbox.drain();
+    return endInput();
   }
 
   /** Handles the passing of time and the outcomes received since the last tick. */
   public List<Outbox.Effect> tick(long nowMs, long wallMs) {
     beginInput(nowMs, wallMs);
     timedParts.forEach(part -> boundary.run(part.operation(), part.tick()));
-    return outbox.drain();
+    return endInput();
+  }
+
+  /** The effects of the input; none if they were decided from an inconsistent cache. */
+  private List<Outbox.Effect> endInput() {
+    List<Outbox.Effect> effects = outbox.drain();
+    if (cache.inconsistent()) {
+      restartReason = RestartReason.STATE_CACHE_INCONSISTENT;
+      return List.of();
+    }
+    if (store.readsFailed()) {
+      restartReason = RestartReason.STATE_CACHE_OUTDATED;
+    }
+    return effects;
   }
 }
--- a/src/main/java/org/baygw/control/admin/Admin.java
+++ b/src/main/java/org/baygw/control/admin/Admin.java
@@ -252,6 +252,11 @@
           "Inputs, or parts of them, that ended with an exception",
           failures,
           FailureCounters::failedInputs);
+      metrics.counter(
+          "baygw.cores.replaced",
+          "Cores replaced since their state cache could not be relied on",
+          failures,
+          FailureCounters::replacedCores);
       metrics.gauge(
           "baygw.values.undecodable",
           "Keys whose latest value cannot be decoded",
--- a/src/main/java/org/baygw/control/jobs/Jobs.java
+++ b/src/main/java/org/baygw/control/jobs/Jobs.java
@@ -54,7 +54,7 @@
   /** Returns whether this controller can serve users' requests. */
   public boolean ready() {
     // While only this controller cannot reach the state service, another one serves users better.
-    return store.loaded() && !peers.isolatedFromStateService();
+    return store.loaded() && !store.readsOverdue() && !peers.isolatedFromStateService();
   }
 
   /** Handles a request to a path of this API; returns false for any other path. */
@@ -65,7 +65,7 @@
       } else if (ready()) {
         out.answer(request, 200, Json.bytes(Json.object().put("status", "up")));
       } else {
-        retryLater(request, 503, "state not loaded yet");
+        retryLater(request, 503, "state not loaded or out of date");
       }
       return true;
     }
--- a/src/main/java/org/baygw/control/net/EventLoop.java
+++ b/src/main/java/org/baygw/control/net/EventLoop.java
@@ -29,6 +29,8 @@
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
+import java.util.function.Supplier;
 import org.baygw.control.Constants;
 import org.baygw.control.Controller;
 import org.baygw.control.config.Features;
@@ -45,34 +47,63 @@
 public final class EventLoop {
   private static final Logger LOG = LoggerFactory.getLogger(EventLoop.class);
 
+  /** Time for which a core waits that replaces one in the same process. */
+  public static final long CORE_RESTART_DELAY_MS = 1_000;
+
   private static final byte[] NO_BODY = new byte[0];
   private static final byte[] MALFORMED =
       "{\"error\":\"malformed\"}".getBytes(StandardCharsets.UTF_8);
 
+  private static final byte[] REPLACED =
+      "{\"error\":\"restarting\"}".getBytes(StandardCharsets.UTF_8);
+
   /** The connection on which a request is to be answered. */
   private record Pending(Channel channel, boolean keepAlive) {}
 
   private final Settings settings;
   private final FailureCounters failures = new FailureCounters();
-  private final Controller core;
+  private final Supplier<Controller> newCore;
   private final EventLoopGroup loop;
   private final HttpClient client;
   private final Map<Long, Pending> pending = new HashMap<>();
+  private Controller core;
+
+  /** Time before which the core is not ticked, so that replacements do not follow at once. */
+  private long coreStartsAtMs;
+
+  private boolean stopping;
   private long lastRequestId;
   private boolean tickScheduled;
   private long lastTickMs;
 
+  /** Creates the event loop of a controller and its core. */
   public EventLoop(Settings settings, Features features) {
+    this(settings, failures -> new Controller(settings, features, failures));
+  }
+
+  /**
+   * Creates an event loop.
+   *
+   * @param newCore creates a core, which may replace an earlier one
+   */
+  EventLoop(Settings settings, Function<FailureCounters, Controller> newCore) {
     this.settings = settings;
-    this.core = new Controller(settings, features, failures);
+    this.newCore = () -> newCore.apply(failures);
+    this.core = this.newCore.get();
     this.loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     this.client = new HttpClient(loop);
   }
 
   /** Opens the listening sockets and starts the timer; returns once both sockets are open. */
   public void start() throws InterruptedException {
-    bind(settings.listen(), core::request);
-    bind(settings.peerListen(), core::peerRequest);
+    bind(
+        settings.listen(),
+        (nowMs, wallMs, id, method, path, body) ->
+            core.request(nowMs, wallMs, id, method, path, body));
+    bind(
+        settings.peerListen(),
+        (nowMs, wallMs, id, method, path, body) ->
+            core.peerRequest(nowMs, wallMs, id, method, path, body));
     loop.next().execute(this::onTimer);
   }
 
@@ -92,7 +123,9 @@
   private void runTick() {
     tickScheduled = false;
     lastTickMs = now();
-    handle(core::tick);
+    if (lastTickMs >= coreStartsAtMs) {
+      handle(core::tick);
+    }
   }
 
   /**
@@ -126,7 +159,12 @@
    */
   public void handOverAndStop() throws InterruptedException {
     CountDownLatch readyToStop = new CountDownLatch(1);
-    loop.next().execute(() -> safely(core::beginShutdown));
+    loop.next()
+        .execute(
+            () -> {
+              stopping = true;
+              safely(core::beginShutdown);
+            });
     var stopCheck =
         loop.next()
             .scheduleAtFixedRate(
@@ -200,38 +238,62 @@
 
   /** Passes an input to the core and carries out the effects that the core returns. */
   private void handle(Input input) {
+    Controller decider = core;
     safely(
         () -> {
           long decidedAt = now();
-          emit(input.handle(decidedAt, wall()), decidedAt);
+          emit(decider, input.handle(decidedAt, wall()), decidedAt);
         });
+    if (core.restartReason() != null) {
+      replaceCore();
+    }
   }
 
-  private void emit(List<Outbox.Effect> effects, long decidedAt) {
+  private void emit(Controller decider, List<Outbox.Effect> effects, long decidedAt) {
     for (Outbox.Effect effect : effects) {
       // One that fails must not keep the others from being carried out.
-      safely(() -> emit(effect, decidedAt));
+      safely(() -> emit(decider, effect, decidedAt));
     }
   }
 
-  private void emit(Outbox.Effect effect, long decidedAt) {
+  private void emit(Controller decider, Outbox.Effect effect, long decidedAt) {
     if (effect instanceof Outbox.Call call) {
-      if (call.carriesOrders() && core.withholdsOrders(decidedAt, now())) {
-        loop.next().execute(() -> finish(call, Outbox.NOT_SENT, NO_BODY));
+      if (call.carriesOrders() && decider.withholdsOrders(decidedAt, now())) {
+        loop.next().execute(() -> finish(decider, call, Outbox.NOT_SENT, NO_BODY));
       } else {
-        client.call(call, (status, body) -> finish(call, status, body));
+        client.call(call, (status, body) -> finish(decider, call, status, body));
       }
     } else if (effect instanceof Outbox.Answer answer) {
-      boolean withheld = answer.carriesOrders() && core.withholdsOrders(decidedAt, now());
+      boolean withheld = answer.carriesOrders() && decider.withholdsOrders(decidedAt, now());
       answer(withheld ? Outbox.Answer.withheld(answer.requestId()) : answer);
     }
   }
 
-  private void finish(Outbox.Call call, int status, byte[] body) {
+  private void finish(Controller caller, Outbox.Call call, int status, byte[] body) {
+    if (caller != core) {
+      return; // the core that made the call has been replaced
+    }
     handle((nowMs, wallMs) -> core.outcome(nowMs, wallMs, call.callback(), status, body));
     scheduleTick();
   }
 
+  /**
+   * Replaces the core by a new one, as if the process had been restarted: what the old one knew
+   * cannot be relied on.
+   */
+  private void replaceCore() {
+    LOG.error("replacing the controller's core: {}", core.restartReason());
+    failures.coreReplaced();
+    core = newCore.get();
+    coreStartsAtMs = now() + CORE_RESTART_DELAY_MS;
+    if (stopping) {
+      safely(core::beginShutdown);
+    }
+    for (long id : List.copyOf(pending.keySet())) {
+      answer(new Outbox.Answer(id, 503, REPLACED, Constants.RETRY_AFTER_S, false));
+    }
+  }
+
   private void answer(Outbox.Answer answer) {
     Pending request = pending.remove(answer.requestId());
     if (request == null || !request.channel().isActive()) {
--- a/src/main/java/org/baygw/control/store/RequestQueue.java
+++ b/src/main/java/org/baygw/control/store/RequestQueue.java
@@ -22,6 +22,12 @@
 final class RequestQueue {
   private static final byte[] NO_BODY = new byte[0];
 
+  /**
+   * Longest gap between answers of the state service within which contact with it continues: a
+   * membership lease survives it.
+   */
+  private static final long CONTACT_GAP_MS = Constants.MEMBERSHIP_LEASE_MS;
+
   /** A request waiting for tokens. */
   private sealed interface QueuedRequest {
     long deadline();
@@ -53,6 +59,7 @@
   private final TokenBucket writeTokens = new TokenBucket(1, 1);
   private final List<Deque<QueuedRequest>> queues = new ArrayList<>();
   private long lastContact = Long.MIN_VALUE / 2;
+  private long contactSince = Long.MIN_VALUE / 2;
 
   RequestQueue(Clock clock, Outbox out, Settings settings, ErrorBoundary boundary) {
     this.boundary = boundary;
@@ -70,6 +77,22 @@
     return lastContact;
   }
 
+  /**
+   * Time in ms for which the state service has been answering, without a long gap; 0 if it has not
+   * answered recently.
+   */
+  long contactMs() {
+    boolean inContact = clock.now() - lastContact <= CONTACT_GAP_MS;
+    return inContact ? clock.now() - contactSince : 0;
+  }
+
+  private void answered(long sentAt) {
+    if (sentAt - lastContact > CONTACT_GAP_MS) {
+      contactSince = clock.now();
+    }
+    lastContact = Math.max(lastContact, sentAt);
+  }
+
   /** Takes an even share of the service's rate limits, and an extra one if this is the leader. */
   void updateShare(boolean isLeader) {
     double shares = settings.peers().size() + 1 + Constants.LEADER_EXTRA_SHARES;
@@ -209,7 +232,7 @@
           } else if (status > 0 && status < 500) {
             // Not the arrival time: a process that was suspended reads old answers when it resumes,
             // and would consider itself connected during an outage that began meanwhile.
-            lastContact = Math.max(lastContact, sentAt);
+            answered(sentAt);
           }
           callback.done(status, answer);
         });
--- a/src/main/java/org/baygw/control/store/Store.java
+++ b/src/main/java/org/baygw/control/store/Store.java
@@ -50,6 +50,17 @@
 
   private static final Logger LOG = LoggerFactory.getLogger(Store.class);
 
+  /**
+   * Time without a successful read, while the state service answers, after which they are overdue.
+   */
+  private static final long READS_OVERDUE_MS = 10_000;
+
+  /**
+   * Time without a successful read, while the state service answers, after which roles are given
+   * up: others take some ten seconds to serve them, and no job may wait for 90 s.
+   */
+  private static final long READS_FAILED_MS = 30_000;
+
   /** Keys on a page of a listing. */
   private static final int LISTING_PAGE_KEYS = 500;
 
@@ -83,6 +94,12 @@
   /** When an answer last brought the cache up to date. */
   private long lastUpdate = Long.MIN_VALUE / 2;
 
+  /** When an answer last brought the cache up to date, or a listing forward. */
+  private long lastRead = Long.MIN_VALUE / 2;
+
+  /** The value of {@link #lastRead} before the present listing. */
+  private long lastReadBeforeListing = Long.MIN_VALUE / 2;
+
   /** Send time of the latest request whose answer brought the cache up to date. */
   private long currentAsOf = Long.MIN_VALUE / 2;
 
@@ -123,6 +140,24 @@
     return currentAsOf;
   }
 
+  /** Whether reads are overdue, so that this controller should serve no users. */
+  public boolean readsOverdue() {
+    return readDelayMs() > READS_OVERDUE_MS;
+  }
+
+  /** Whether reads have failed for so long that others must take this controller's roles. */
+  public boolean readsFailed() {
+    return loaded && readDelayMs() > READS_FAILED_MS;
+  }
+
+  /**
+   * Time in ms for which the state service has answered requests without an answer that brought the
+   * cache up to date; 0 while it does not answer.
+   */
+  private long readDelayMs() {
+    return Math.min(queue.contactMs(), clock.now() - lastRead);
+  }
+
   /**
    * Time that conditional writes took, in ms, with the wait for tokens except for deferred ones.
    */
@@ -143,6 +178,7 @@
     if (!loaded || tooFarBehind()) {
       if (!loading && !watching && !syncing && now >= nextWatch) {
         loading = true;
+        lastReadBeforeListing = lastRead;
         requestPage(new Listing(cache, loaded, clock.now()));
       }
     } else if (!loading) {
@@ -369,6 +405,7 @@
     if (status != 200 || !listing.addPage(Json.parse(answer))) {
       return false;
     }
+    lastRead = clock.now();
     if (!listing.complete()) {
       requestPage(listing);
     } else if (listing.consistent()) {
@@ -412,6 +449,7 @@
     loading = false;
     loaded = true;
     changesLost = false;
+    lastRead = clock.now();
     lastUpdate = clock.now();
     currentAsOf = Math.max(currentAsOf, listing.startedAt());
     LOG.info("read {} keys at revision {}", listing.keyCount(), cache.revision());
@@ -419,6 +457,7 @@
 
   private void listingFailed() {
     loading = false;
+    lastRead = lastReadBeforeListing;
     nextWatch = clock.now() + Constants.STATE_RETRY_MS;
     notifyWaiters(takeWaiters(), false);
   }
@@ -495,6 +534,7 @@
       return false;
     }
     applyEvents(response);
+    lastRead = clock.now();
     lastUpdate = clock.now();
     currentAsOf = Math.max(currentAsOf, sentAt);
     return true;
--- a/src/test/java/org/baygw/control/ControllerTest.java
+++ b/src/test/java/org/baygw/control/ControllerTest.java
@@ -1,6 +1,7 @@
 package org.baygw.control;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.nio.charset.StandardCharsets;
@@ -9,6 +10,7 @@
 import org.baygw.control.config.Settings;
 import org.baygw.control.core.FailureCounters;
 import org.baygw.control.core.Outbox;
+import org.baygw.control.core.RestartReason;
 import org.baygw.control.store.StateCache;
 import org.junit.jupiter.api.Test;
 
@@ -43,6 +45,19 @@
         new Settings.Resources(1, 1_000));
   }
 
+  /** A core whose cache becomes inconsistent with its next change of the machine's tasks. */
+  public static Controller failingCore(FailureCounters failures) {
+    StateCache cache = new StateCache();
+    breakMachine(cache);
+    Controller core = new Controller(settings(), Features.NONE, failures, cache);
+    answerListing(core);
+    return core;
+  }
+
+  private static void breakMachine(StateCache cache) {
+    cache.machines.put("n-000001", new StateCache.Entry<>(null, 1));
+  }
+
   /** Lets the core read all keys; returns the effects of the answer. */
   private static List<Outbox.Effect> answerListing(Controller core) {
     for (Outbox.Effect effect : core.tick(1, 1)) {
@@ -54,6 +69,16 @@
     throw new IllegalStateException("the core does not read the keys");
   }
 
+  /** Guards against decisions from a cache of which a change failed half-way. */
+  @Test
+  void coreWithInconsistentCacheActsNoMore() {
+    breakMachine(cache);
+    assertEquals(List.of(), answerListing(core));
+    assertEquals(RestartReason.STATE_CACHE_INCONSISTENT, core.restartReason());
+    assertEquals(List.of(), core.tick(60, 60));
+    assertEquals(0, cache.stamp("b/run/a.0"), "a value that was not applied kept its stamp");
+  }
+
   /** Guards against a caller that waits for ever since the handler of its request failed. */
   @Test
   void failedRequestIsAnswered() {
@@ -72,5 +97,6 @@
             .anyMatch(e -> e instanceof Outbox.Answer a && a.requestId() == 2 && a.status() == 500),
         effects.toString());
     assertEquals(1, failures.failedInputs());
+    assertNull(core.restartReason());
   }
 }
--- a/src/test/java/org/baygw/control/sim/Scenario.java
+++ b/src/test/java/org/baygw/control/sim/Scenario.java
@@ -171,6 +171,9 @@
       if (node.failures.failedInputs() > 0) {
         failures.add(node.label + ": " + node.failures.failedInputs() + " inputs failed");
       }
+      if (node.failures.replacedCores() > 0 && !expected.expectsReplacedCore(node.label)) {
+        failures.add(node.label + ": its core was replaced");
+      }
     }
     if (!expected.expectsViolation() && !cluster.checker.violations.isEmpty()) {
       failures.add("broken: " + cluster.checker.violations);
--- a/src/test/java/org/baygw/control/sim/ScenarioActions.java
+++ b/src/test/java/org/baygw/control/sim/ScenarioActions.java
@@ -191,6 +191,7 @@
       case "repeat" -> repeatRequests(words, forMs);
       case "state-outage" ->
           cluster.state.outage(ScenarioWords.wordAfter(words, "only", null), forMs);
+      case "malformed-reads" -> cluster.state.malformedReads(words[3], forMs);
       case "cloud-outage" -> cluster.cloud.outage(forMs);
       case "capacity" -> cluster.cloud.capacity = Integer.parseInt(words[3]);
       default -> actOnMachines(words);
--- a/src/test/java/org/baygw/control/sim/ScenarioExpectations.java
+++ b/src/test/java/org/baygw/control/sim/ScenarioExpectations.java
@@ -1,13 +1,16 @@
 package org.baygw.control.sim;
 
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 /** Checks a scenario's expectations at its end. */
 final class ScenarioExpectations {
   private final SimulatedCluster cluster;
   private final List<String> failures;
   private boolean expectsViolation;
+  private final Set<String> expectedReplacements = new HashSet<>();
 
   ScenarioExpectations(SimulatedCluster cluster, List<String> failures) {
     this.cluster = cluster;
@@ -19,6 +22,11 @@
     return expectsViolation;
   }
 
+  /** Whether the scenario expects the controller's core to be replaced. */
+  boolean expectsReplacedCore(String label) {
+    return expectedReplacements.contains(label);
+  }
+
   void checkAtMost(String what, double value, String limit) {
     if (value > Double.parseDouble(limit)) {
       failures.add(value + " " + what + ":\n" + cluster.work.table());
@@ -197,6 +205,12 @@
           }
         }
       }
+      case "core-replaced" -> {
+        expectedReplacements.add(words[2]);
+        if (cluster.nodes.get(words[2]).failures.replacedCores() == 0) {
+          failures.add("the core of " + words[2] + " was not replaced");
+        }
+      }
       case "no-machine-on-record" -> {
         if (cluster.state.hasKeysUnder("b/machine/")) {
           failures.add("the state service has a record of a machine");
--- a/src/test/java/org/baygw/control/sim/SimulatedCluster.java
+++ b/src/test/java/org/baygw/control/sim/SimulatedCluster.java
@@ -18,6 +18,7 @@
 import org.baygw.control.core.Json;
 import org.baygw.control.core.Outbox;
 import org.baygw.control.model.Partition;
+import org.baygw.control.net.EventLoop;
 
 /**
  * A simulated deployment: clock, network, state service, cloud, workers and users around real
@@ -301,6 +302,15 @@
                   now));
     }
 
+    /** Like the event loop, replaces a core that cannot go on. */
+    private void replaceCoreIfNeeded() {
+      if (core != null && core.restartReason() != null) {
+        failures.coreReplaced();
+        lastStep = now + EventLoop.CORE_RESTART_DELAY_MS;
+        start();
+      }
+    }
+
     private void execute(List<Outbox.Effect> effects, long decidedAt) {
       if (freezeBeforeOrdersMs > 0 && effects.stream().anyMatch(Node::containsOrders)) {
         freeze(freezeBeforeOrdersMs);
@@ -322,6 +332,7 @@
           send(call);
         }
       }
+      replaceCoreIfNeeded();
     }
 
     private static boolean containsOrders(Outbox.Effect effect) {
--- a/src/test/java/org/baygw/control/sim/StateServiceStub.java
+++ b/src/test/java/org/baygw/control/sim/StateServiceStub.java
@@ -72,6 +72,13 @@
     }
   }
 
+  private final Map<String, Long> malformedReadsUntil = new HashMap<>();
+
+  /** A host's reads are answered with 200 and a body that is no answer; its writes succeed. */
+  void malformedReads(String host, long ms) {
+    malformedReadsUntil.put(host, cluster.now() + ms);
+  }
+
   private double lateShare;
   private long lateUntil;
 
@@ -181,6 +188,10 @@
       respond.done(503, Json.bytes(Json.object().put("error", "outage")));
       return;
     }
+    if (method.equals("GET") && cluster.now() < malformedReadsUntil.getOrDefault(from, 0L)) {
+      respond.done(200, Json.bytes(Json.object().put("error", "malformed")));
+      return;
+    }
     for (JsonNode operation : request.path("then")) {
       String key = operation.path("write").asText(operation.path("delete").asText());
       writes.merge(key.split("/")[1], 1, Integer::sum);
