Mark the cache as inconsistent after an Error too

Cause: read again: an exhausted stack in the middle of a change is no RuntimeException, so the cache stayed in use. Change: a change that did not end normally marks the cache in any case. Measured: StateCacheTest.errorDuringChangeLeavesInconsistentCache failed before and passes.

--- a/src/main/java/org/baygw/control/store/StateCache.java
+++ b/src/main/java/org/baygw/control/store/StateCache.java
@@ -316,17 +316,21 @@
     }
   }
 
-  /** Makes a decoded change; one that fails leaves the cache inconsistent. */
+  /**
+   * Makes a decoded change; one that fails, or ends with an error, leaves an inconsistent cache.
+   */
   private boolean run(Runnable change, String key, long stamp) {
     changeCount++;
+    boolean applied = false;
     try {
       change.run();
-      return true;
+      applied = true;
     } catch (RuntimeException e) {
       LOG.error("inconsistent since the change of {} at revision {}", key, stamp, e);
-      inconsistent = true;
-      return false;
+    } finally {
+      inconsistent |= !applied;
     }
+    return applied;
   }
 
   /**
--- a/src/test/java/org/baygw/control/store/StateCacheTest.java
+++ b/src/test/java/org/baygw/control/store/StateCacheTest.java
@@ -2,12 +2,14 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.google.common.collect.MapDifference;
 import com.google.common.collect.Maps;
 import java.nio.charset.StandardCharsets;
+import java.util.AbstractList;
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
@@ -19,6 +21,7 @@
 import org.baygw.control.core.Json;
 import org.baygw.control.model.Machine;
 import org.baygw.control.model.Partition;
+import org.baygw.control.model.Records;
 import org.baygw.control.model.TaskId;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -27,6 +30,7 @@
 /** Indexes of the state cache, whatever the order in which keys arrive. */
 final class StateCacheTest {
   private static final int STEPS = 400;
+  private static final Partition PARTITION = new Partition("a", 0);
 
   private static void readChanges(StateCache cache, SimulatedRecords records) {
     for (SimulatedRecords.Change change : records.changes) {
@@ -104,19 +108,44 @@
   @Test
   void undecodableValueKeepsTheFormerOneWithItsStamp() {
     StateCache cache = new StateCache();
-    Partition partition = new Partition("a", 0);
-    String key = Keys.record(partition, 0);
+    String key = Keys.record(PARTITION, 0);
     cache.put(key, json("{'on':{'n-1':'run-1:0','n-2':'run-1:1'}}"), 5);
     cache.put(key, json("{'on':{'n-1':'run-1:2','n-2':'no list of tasks'}}"), 6);
     assertEquals(Set.of("n-1"), cache.machinesWith(new TaskId("run-1", 0)));
     assertEquals(Set.of(), cache.machinesWith(new TaskId("run-1", 2)));
     assertEquals(5, cache.stamp(key));
-    assertTrue(cache.hasUndecodableRecord(partition.toString()));
+    assertTrue(cache.hasUndecodableRecord(PARTITION.toString()));
 
     cache.put(key, json("{'on':{'n-1':'run-1:2'}}"), 7);
     assertEquals(Set.of("n-1"), cache.machinesWith(new TaskId("run-1", 2)));
     assertEquals(7, cache.stamp(key));
-    assertFalse(cache.hasUndecodableRecord(partition.toString()));
+    assertFalse(cache.hasUndecodableRecord(PARTITION.toString()));
+  }
+
+  /** Guards against a cache that is relied on after an error, such as an exhausted stack. */
+  @Test
+  void errorDuringChangeLeavesInconsistentCache() {
+    StateCache cache = new StateCache();
+    cache.put(Keys.LAYOUT, json("{'partitions_per_zone':1}"), 1);
+    List<String> images =
+        new AbstractList<>() {
+          @Override
+          public String get(int index) {
+            throw new StackOverflowError();
+          }
+
+          @Override
+          public int size() {
+            return 1;
+          }
+        };
+    Machine machine =
+        new Machine(
+            "n-1", "c16", "a", false, "", Machine.Condition.OK, Map.of(), images, PARTITION);
+    cache.machines.put("n-1", new StateCache.Entry<>(machine, 1));
+    JsonNode record = Records.machine(machine);
+    assertThrows(StackOverflowError.class, () -> cache.put(Keys.machine("n-1"), record, 2));
+    assertTrue(cache.inconsistent());
   }
 
   private static JsonNode json(String text) {
