--- a/src/test/java/org/baygw/control/ControllerTest.java
+++ b/src/test/java/org/baygw/control/ControllerTest.java
@@ -7,7 +7,6 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import org.baygw.control.config.Features;
-import org.baygw.control.config.Settings;
 import org.baygw.control.core.FailureCounters;
 import org.baygw.control.core.Outbox;
 import org.baygw.control.core.RestartReason;
@@ -23,33 +22,14 @@
 
   private final StateCache cache = new StateCache();
   private final FailureCounters failures = new FailureCounters();
-  private final Controller core = new Controller(settings(), Features.NONE, failures, cache);
-
-  /** Settings of a controller without peers that listens on free ports of the loopback. */
-  public static Settings settings() {
-    return new Settings(
-        "yurt-0",
-        "a",
-        new Settings.Endpoint("127.0.0.1", 0),
-        new Settings.Endpoint("127.0.0.1", 0),
-        List.of(),
-        "127.0.0.1:1",
-        "127.0.0.1:1",
-        List.of("a"),
-        100,
-        List.of(new Settings.Team("red", 8, 16, 0, 0)),
-        List.of(),
-        new Settings.WorkerTimes(2, 10, 35),
-        new Settings.StateLimits(1_000, 1_000, 8, 16),
-        new Settings.CloudLimits(10, 3),
-        new Settings.Resources(1, 1_000));
-  }
+  private final Controller core =
+      new Controller(TestSettings.oneController(), Features.NONE, failures, cache);
 
   /** A core whose cache becomes inconsistent with its next change of the machine's tasks. */
   public static Controller failingCore(FailureCounters failures) {
     StateCache cache = new StateCache();
     breakMachine(cache);
-    Controller core = new Controller(settings(), Features.NONE, failures, cache);
+    Controller core = new Controller(TestSettings.oneController(), Features.NONE, failures, cache);
     answerListing(core);
     return core;
   }
--- a/src/test/java/org/baygw/control/net/EventLoopTest.java
+++ b/src/test/java/org/baygw/control/net/EventLoopTest.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import org.baygw.control.Controller;
 import org.baygw.control.ControllerTest;
+import org.baygw.control.TestSettings;
 import org.baygw.control.config.Features;
 import org.baygw.control.core.FailureCounters;
 import org.junit.jupiter.api.Test;
@@ -20,13 +21,13 @@
   private Controller newCore(FailureCounters failures) {
     return cores.incrementAndGet() == 1
         ? ControllerTest.failingCore(failures)
-        : new Controller(ControllerTest.settings(), Features.NONE, failures);
+        : new Controller(TestSettings.oneController(), Features.NONE, failures);
   }
 
   /** Guards against a process that goes on with a core whose cache cannot be relied on. */
   @Test
   void replacesFailedCoreOnce() throws InterruptedException {
-    EventLoop eventLoop = new EventLoop(ControllerTest.settings(), this::newCore);
+    EventLoop eventLoop = new EventLoop(TestSettings.oneController(), this::newCore);
     eventLoop.start();
     try {
       assertTimeoutPreemptively(REPLACED_WITHIN, this::awaitSecondCore);
--- a/src/test/java/org/baygw/control/store/StoreTest.java
+++ b/src/test/java/org/baygw/control/store/StoreTest.java
@@ -8,7 +8,7 @@
 import java.util.List;
 import java.util.Set;
 import org.baygw.control.Constants;
-import org.baygw.control.config.Settings;
+import org.baygw.control.TestSettings;
 import org.baygw.control.core.Clock;
 import org.baygw.control.core.ErrorBoundary;
 import org.baygw.control.core.FailureCounters;
@@ -33,24 +33,9 @@
 
   @BeforeEach
   void start() {
-    Settings settings =
-        new Settings(
-            "yurt-0",
-            "a",
-            new Settings.Endpoint("yurt-0", 8080),
-            new Settings.Endpoint("yurt-0", 8081),
-            List.of(),
-            "cloud",
-            "state",
-            List.of("a"),
-            100,
-            List.of(),
-            List.of(),
-            new Settings.WorkerTimes(2, 10, 35),
-            new Settings.StateLimits(1_000, 1_000, 8, 16),
-            new Settings.CloudLimits(10, 3),
-            new Settings.Resources(1, 1_000));
-    store = new Store(clock, out, settings, cache, new ErrorBoundary(clock, failures));
+    store =
+        new Store(
+            clock, out, TestSettings.oneController(), cache, new ErrorBoundary(clock, failures));
   }
 
   /**
