Log that reads are overdue, and count failures outside the core

Cause: read again: before a core is replaced only /up told that its reads fail; an effect that could not be carried out was logged and not counted; a page's change copied the names of all its machines. Change: one warning when reads become overdue; the event loop's failures count in baygw.inputs.failed; a page's change lists only the machines that changed.

--- a/src/main/java/org/baygw/control/core/FailureCounters.java
+++ b/src/main/java/org/baygw/control/core/FailureCounters.java
@@ -5,7 +5,8 @@
   private long failedInputs;
   private long replacedCores;
 
-  void inputFailed() {
+  /** Counts an input, or a part of one, that ended with an exception. */
+  public void inputFailed() {
     failedInputs++;
   }
 
--- a/src/main/java/org/baygw/control/net/EventLoop.java
+++ b/src/main/java/org/baygw/control/net/EventLoop.java
@@ -227,6 +227,7 @@
     try {
       action.run();
     } catch (RuntimeException e) {
+      failures.inputFailed();
       LOG.error("an input failed", e);
     }
   }
--- a/src/main/java/org/baygw/control/store/PageChange.java
+++ b/src/main/java/org/baygw/control/store/PageChange.java
@@ -39,12 +39,13 @@
    * @throws IllegalArgumentException if the new version is malformed
    */
   static PageChange between(PartitionRecord old, PartitionRecord next) {
-    Set<String> removedMachines = new LinkedHashSet<>(old.tasksByMachine().keySet());
-    removedMachines.removeAll(next.tasksByMachine().keySet());
+    Set<String> removedMachines = new LinkedHashSet<>();
     Map<String, Map<TaskId, Integer>> tasksByMachine = new LinkedHashMap<>();
     for (String machine : changedKeys(old.tasksByMachine(), next.tasksByMachine())) {
       String text = next.tasksByMachine().get(machine);
-      if (text != null) {
+      if (text == null) {
+        removedMachines.add(machine);
+      } else {
         tasksByMachine.put(machine, PartitionRecord.tasks(text));
       }
     }
--- a/src/main/java/org/baygw/control/store/Store.java
+++ b/src/main/java/org/baygw/control/store/Store.java
@@ -100,6 +100,9 @@
   /** The value of {@link #lastRead} before the present listing. */
   private long lastReadBeforeListing = Long.MIN_VALUE / 2;
 
+  /** Whether it was logged that reads are overdue. */
+  private boolean overdueLogged;
+
   /** Send time of the latest request whose answer brought the cache up to date. */
   private long currentAsOf = Long.MIN_VALUE / 2;
 
@@ -193,6 +196,15 @@
       }
     }
     queue.dispatch();
+    logIfOverdue();
+  }
+
+  private void logIfOverdue() {
+    boolean overdue = loaded && readsOverdue();
+    if (overdue && !overdueLogged) {
+      LOG.warn("no read has succeeded for {} ms although the state service answers", readDelayMs());
+    }
+    overdueLogged = overdue;
   }
 
   /**
